--- /dev/null
+++ b/eiderpin/core/__init__.py
@@ -0,0 +1,1 @@
+"""The dispatcher's core: flows, schedulings and deadlines. It knows no wire."""
--- /dev/null
+++ b/eiderpin/core/dispatcher.py
@@ -0,0 +1,318 @@
+"""Events from fronts and worker links to the decision module, and its actions out to them."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable
+
+from eiderpin import decide
+from eiderpin import interface as api
+from eiderpin.core.counters import Counters
+from eiderpin.core.deadlines import Clock, Deadline, Deadlines
+from eiderpin.core.flows import Answer, EdgeSide, Flow, SlotTable, TableFull, Verdict
+from eiderpin.core.invariants import must
+from eiderpin.core.schedulings import Scheduling, ServiceEntry, WorkerLink
+
+ANSWER_MARGIN = 15.0  # ms before a client's deadline at which its answer is due: it has to travel
+GRACE_MARGIN = 50.0  # ms of a drain's grace that are left unused
+WAIT_ADVICE = 500.0  # ms told to a turned-down client where the decisions name no figure
+KEPT_FOR = 60_000.0  # ms for which a result is kept for a resubmission
+KEPT_COUNT = 8192
+KEPT_BYTES = 16 * 1024 * 1024
+
+
+class Dispatcher:
+    """Owns all flows and service entries; hands each batch of events to the decisions."""
+
+    def __init__(
+        self, settings: api.Settings, seed: int, clock: Clock, deadlines: Deadlines, counters: Counters
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.deadlines = deadlines
+        self.counters = counters
+        self.module = decide.Dispatcher(settings, seed)
+        self.classes = {c.name: c for c in settings.classes}
+        self.flows: SlotTable[Flow] = SlotTable()
+        self.entries: dict[str, ServiceEntry] = {}
+        self.listed = False  # some list has come
+        self._by_unique: dict[tuple[str, str], Flow] = {}
+        self._by_wire: dict[str, Flow] = {}
+        self._kept: OrderedDict[tuple[str, str], tuple[float, Answer]] = OrderedDict()
+        self._kept_bytes = 0
+        self._wire_number = 0
+        self._events: list[api.Event] = []
+        self._timers: dict[int, Deadline] = {}
+
+    # -- from the fronts
+
+    def submit(self, flow: Flow, waiter: EdgeSide | None) -> Flow:
+        """Take a job in. One that is under way or whose outcome is kept is joined, never run again."""
+        now = self.clock.now()
+        name = (flow.cls, flow.unique)
+        self.counters.add("in.flows")
+        if flow.unique:
+            open_flow = self._by_unique.get(name)
+            if open_flow is not None:
+                self.counters.add("in.joined")
+                if waiter is not None:
+                    open_flow.waiters.append(waiter)
+                open_flow.background = open_flow.background or flow.background
+                return open_flow
+            kept = self._kept.get(name)
+            if kept is not None and kept[0] > now:
+                self.counters.add("in.kept")
+                flow.ended = True
+                if waiter is not None:
+                    waiter.answer(flow, kept[1])
+                return flow
+        if waiter is not None:
+            flow.waiters.append(waiter)
+        try:
+            flow.id = self.flows.add(flow)
+        except TableFull:
+            self._finish(flow, Answer(Verdict.TURNED_DOWN, wait=self.settings.max_wait_advice))
+            return flow
+        flow.backstop = self.deadlines.set(flow.deadline, lambda: self._overdue(flow))
+        if flow.unique:
+            self._by_unique[name] = flow
+        flow.wire_id = self._wire_name(flow.unique)
+        self._by_wire[flow.wire_id] = flow
+        left = flow.deadline - ANSWER_MARGIN - now
+        self._events.append(
+            api.Request(
+                flow.id, flow.cls, left, flow.slots, flow.memory, flow.tenant, flow.key, flow.hint,
+                flow.client_retry,
+            )
+        )  # fmt: skip
+        return flow
+
+    def _wire_name(self, unique: str) -> str:
+        """The id that workers are given: the client's own where it fits a header and is free."""
+        fits = 0 < len(unique) <= 128 and unique.isascii() and unique.isprintable() and " " not in unique
+        if fits and "/" not in unique and unique not in self._by_wire:
+            return unique
+        self._wire_number += 1
+        return f"e{self._wire_number:x}-{int(self.clock.now()):x}"
+
+    def leave(self, flow: Flow, waiter: EdgeSide) -> None:
+        """One who waited has gone. A flow that nobody waits for is called off."""
+        if waiter in flow.waiters:
+            flow.waiters.remove(waiter)
+        if flow.ended or flow.waiters or flow.background:
+            return
+        self.counters.add("in.clients_gone")
+        self._events.append(api.RequestGone(flow.id))
+        self._finish(flow, Answer(Verdict.FAILED))
+
+    def detach(self, flow: Flow, waiter: EdgeSide) -> None:
+        """As `leave`, but a single-shot job that may have begun goes on, so that a resubmission finds it."""
+        repeat = self.classes[flow.cls].repeat
+        if flow.unique and flow.ran and repeat is not api.Repeat.FREE and not flow.ended:
+            flow.background = True
+        self.leave(flow, waiter)
+
+    # -- from the worker links
+
+    def list_told(
+        self,
+        link: WorkerLink,
+        kind: api.ListKind,
+        entries: Iterable[tuple[api.WorkerEntry, object]],
+    ) -> None:
+        """What one source of workers tells. A complete list stands for that source's workers only."""
+        now = self.clock.now()
+        listed: list[api.WorkerEntry] = []
+        named = set()
+        for entry, address in entries:
+            known = self.entries.get(entry.name)
+            if known is None:
+                known = self.entries[entry.name] = ServiceEntry(entry, address, link)
+            self._tell(known, entry, address, now)
+            named.add(entry.name)
+            listed.append(entry)
+        if kind in (api.ListKind.COMPLETE, api.ListKind.STORED):
+            for known in self.entries.values():
+                if known.link is link and known.name not in named:
+                    if known.listed.state is not api.WorkerState.GONE:
+                        gone = known.listed
+                        gone.state = api.WorkerState.GONE
+                        self._tell(known, gone, known.address, now)
+                elif known.link is not link:
+                    listed.append(known.listed)
+        self.listed = self.listed or kind is not api.ListKind.FAILED
+        self._events.append(api.Membership(kind, listed))
+
+    def _tell(self, known: ServiceEntry, entry: api.WorkerEntry, address: object, now: float) -> None:
+        known.listed, known.address = entry, address
+        if entry.state is api.WorkerState.IN_SERVICE:
+            known.left_at = None
+        elif known.left_at is None:
+            known.left_at = now
+        known.link.entry_changed(known)
+
+    def may_write(self, scheduling: Scheduling) -> bool:
+        """Asked by a link just before the first byte of a send."""
+        grace = self.settings.drain_grace - GRACE_MARGIN
+        return not scheduling.ended and scheduling.entry.may_be_sent(self.clock.now(), grace)
+
+    def written(self, scheduling: Scheduling) -> None:
+        """The whole of a send is out: from here on it may have run."""
+        scheduling.flow.ran = True
+        self.counters.add("out.schedulings")
+
+    def ended(self, scheduling: Scheduling, outcome: api.Outcome, result: bytes = b"") -> None:
+        """How a scheduling ended; a first result goes to those who wait."""
+        if scheduling.ended:
+            return
+        scheduling.ended = True
+        self.deadlines.drop(scheduling.expiry)
+        self.counters.add(f"out.ended.{outcome.value}")
+        flow = scheduling.flow
+        if outcome is api.Outcome.DONE and not flow.ended:
+            self._finish(flow, Answer(Verdict.SERVED, result))
+        self._events.append(
+            api.AttemptEnded(
+                flow.id, scheduling.number, scheduling.entry.name, outcome,
+                self.clock.now() - scheduling.made_at, flow.ended,
+            )
+        )  # fmt: skip
+        self._release(flow)
+
+    def progress(self, scheduling: Scheduling, started: bool, share: float = 0.0) -> None:
+        if scheduling.ended:
+            return
+        scheduling.accepted = True
+        flow = scheduling.flow
+        self._events.append(
+            api.Progress(flow.id, scheduling.number, scheduling.entry.name, started, share)
+        )
+        if share > flow.share and not flow.ended:
+            flow.share = share
+            for waiter in flow.waiters:
+                waiter.progress(flow, share)
+
+    def probed(self, entry: ServiceEntry, ok: bool, elapsed: float) -> None:
+        self._events.append(api.ProbeEnded(entry.name, ok, elapsed))
+
+    def flow_of(self, wire_id: str) -> Flow | None:
+        return self._by_wire.get(wire_id)
+
+    def late_result(self, flow: Flow, result: bytes) -> None:
+        """A worker finished a scheduling that had been counted as ended: its result is as good as any."""
+        if not flow.ended:
+            self._events.append(api.RequestGone(flow.id))
+            self._finish(flow, Answer(Verdict.SERVED, result))
+
+    # -- the decisions
+
+    def decide(self) -> None:
+        """Hand over what has come in and carry out what is decided."""
+        while self._events:
+            events, self._events = self._events, []
+            for action in self.module.handle(self.clock.now(), events):
+                self._act(action)
+
+    def _wait(self, wait: float | None) -> float | None:
+        """How long a turned-down client is told to stay away, in ms."""
+        if not self.settings.may_advise_wait:
+            return None
+        return min(self.settings.max_wait_advice, wait if wait is not None else WAIT_ADVICE)
+
+    def _act(self, action: api.Action) -> None:
+        if isinstance(action, api.Send):
+            self._send(action)
+        elif isinstance(action, api.Cancel):
+            flow = self.flows.get(action.request)
+            if flow is not None and must(action.attempt < len(flow.schedulings), "cancels what was sent"):
+                self._cancel(flow.schedulings[action.attempt])
+        elif isinstance(action, api.Refuse | api.Fail):
+            flow = self.flows.get(action.request)
+            if flow is not None and isinstance(action, api.Refuse):
+                self._finish(flow, Answer(Verdict.TURNED_DOWN, wait=self._wait(action.wait)))
+            elif flow is not None:
+                self._finish(flow, Answer(Verdict.FAILED))
+        elif isinstance(action, api.SetTimer):
+            handle = action.handle
+            self.deadlines.set(action.at, lambda: self._events.append(api.TimerFired(handle)))
+        elif isinstance(action, api.Probe):
+            entry = self.entries.get(action.worker)
+            if entry is not None:
+                self.counters.add("out.probes")
+                entry.link.probe(entry)
+
+    def _send(self, action: api.Send) -> None:
+        flow = self.flows.get(action.request)
+        entry = self.entries.get(action.worker)
+        if flow is None or entry is None:
+            must(False, "sends name a flow and a service entry")
+            return
+        now = self.clock.now()
+        left = max(0.0, flow.deadline - now)
+        timeout = left if action.timeout is None else min(left, action.timeout)
+        scheduling = Scheduling(flow, len(flow.schedulings), entry, now, timeout)
+        flow.schedulings.append(scheduling)
+        if must(not flow.ended, "no send after the end"):
+            scheduling.expiry = self.deadlines.set(now + timeout, lambda: self._timed_out(scheduling))
+            entry.link.send(scheduling)
+        else:
+            self.ended(scheduling, api.Outcome.NOT_SENT)
+
+    def _timed_out(self, scheduling: Scheduling) -> None:
+        if not scheduling.ended:
+            scheduling.entry.link.cancel(scheduling)
+            self.ended(scheduling, api.Outcome.TIMED_OUT)
+
+    def _cancel(self, scheduling: Scheduling) -> None:
+        if not scheduling.ended:
+            self.counters.add("out.cancels")
+            scheduling.entry.link.cancel(scheduling)
+            self.ended(scheduling, api.Outcome.CANCELLED)
+
+    def _overdue(self, flow: Flow) -> None:
+        """The decisions answer each flow before this; should they not, the client still hears."""
+        if not must(flow.ended, "every flow is answered by its deadline"):
+            self._events.append(api.RequestGone(flow.id))
+            self._finish(flow, Answer(Verdict.FAILED))
+
+    # -- the end of a flow
+
+    def _finish(self, flow: Flow, answer: Answer) -> None:
+        if not must(not flow.ended, "one final answer per flow"):
+            return
+        flow.ended = True
+        self.deadlines.drop(flow.backstop)
+        self.counters.add(f"answer.{answer.verdict.value}")
+        if flow.unique and self._by_unique.get((flow.cls, flow.unique)) is flow:
+            del self._by_unique[flow.cls, flow.unique]
+            self._keep(flow, answer)
+        waiters, flow.waiters = flow.waiters, []
+        for waiter in waiters:
+            waiter.answer(flow, answer)
+        self._release(flow)
+
+    def _release(self, flow: Flow) -> None:
+        """Free the slot once nothing is owed or out. Workers' news of a finished flow find no flow."""
+        if flow.ended and flow.id >= 0 and all(s.ended for s in flow.schedulings):
+            self.flows.remove(flow.id)
+            if self._by_wire.get(flow.wire_id) is flow:
+                del self._by_wire[flow.wire_id]
+
+    def _keep(self, flow: Flow, answer: Answer) -> None:
+        """Keep what a resubmission must be told: a result, or that a job which may not run twice may have."""
+        single = self.classes[flow.cls].repeat is not api.Repeat.FREE
+        if answer.verdict is Verdict.SERVED or (single and flow.ran):
+            if answer.verdict is not Verdict.SERVED:
+                answer = Answer(Verdict.FAILED)
+            name = (flow.cls, flow.unique)
+            old = self._kept.pop(name, None)
+            self._kept_bytes += len(answer.result) - (len(old[1].result) if old else 0)
+            now = self.clock.now()
+            self._kept[name] = (now + KEPT_FOR, answer)
+            while self._kept:
+                first = next(iter(self._kept))
+                until, oldest = self._kept[first]
+                if until > now and len(self._kept) <= KEPT_COUNT and self._kept_bytes <= KEPT_BYTES:
+                    break
+                del self._kept[first]
+                self._kept_bytes -= len(oldest.result)
--- /dev/null
+++ b/eiderpin/core/flows.py
@@ -0,0 +1,118 @@
+"""Flows (requests) and the table of numbered slots that they, and connections, live in."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
+
+if TYPE_CHECKING:
+    from eiderpin.core.deadlines import Deadline
+    from eiderpin.core.schedulings import Scheduling
+
+T = TypeVar("T")
+
+SLOT_BITS = 15
+GENERATIONS = 1 << (32 - SLOT_BITS)
+
+
+class TableFull(Exception):
+    """All slots are taken."""
+
+
+class SlotTable(Generic[T]):
+    """Numbered slots. An id is slot and generation, below 2^32: an old id never finds a slot's next holder
+    until the generation has come round."""
+
+    def __init__(self, limit: int = 1 << SLOT_BITS) -> None:
+        self._items: list[T | None] = []
+        self._generations: list[int] = []
+        self._free: list[int] = []
+        self._limit = min(limit, 1 << SLOT_BITS)
+        self.held = 0
+
+    def __len__(self) -> int:
+        return self.held
+
+    def add(self, item: T) -> int:
+        if self._free:
+            slot = self._free.pop()
+        elif len(self._items) < self._limit:
+            slot = len(self._items)
+            self._items.append(None)
+            self._generations.append(0)
+        else:
+            raise TableFull
+        self._items[slot] = item
+        self.held += 1
+        return self._generations[slot] << SLOT_BITS | slot
+
+    def get(self, number: int) -> T | None:
+        slot, generation = number & ((1 << SLOT_BITS) - 1), number >> SLOT_BITS
+        if slot >= len(self._items) or self._generations[slot] != generation:
+            return None
+        return self._items[slot]
+
+    def remove(self, number: int) -> T | None:
+        item = self.get(number)
+        if item is not None:
+            slot = number & ((1 << SLOT_BITS) - 1)
+            self._items[slot] = None
+            self._generations[slot] = (self._generations[slot] + 1) % GENERATIONS
+            self._free.append(slot)
+            self.held -= 1
+        return item
+
+    def all(self) -> list[T]:
+        return [item for item in self._items if item is not None]
+
+
+class Verdict(Enum):
+    """What a final answer says."""
+
+    SERVED = "served"
+    TURNED_DOWN = "turned_down"
+    FAILED = "failed"
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    verdict: Verdict
+    result: bytes = b""
+    wait: float | None = None  # ms after which a turned-down client may come back
+
+
+class EdgeSide(Protocol):
+    """Whoever waits for a flow's answer: one connection's request at some front."""
+
+    def answer(self, flow: Flow, answer: Answer) -> None: ...
+
+    def progress(self, flow: Flow, share: float) -> None: ...
+
+    def data_part(self, flow: Flow, data: bytes, warning: bool) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Flow:
+    """A request from when it is taken in to its final answer."""
+
+    cls: str
+    unique: str  # the client's own id of the job; resubmissions bear it again
+    target: bytes  # where it was addressed, passed on unchanged
+    body: bytes
+    deadline: float  # when its answer must be out
+    slots: float = 1.0
+    memory: float = 0.0
+    tenant: str | None = None
+    key: str | None = None
+    hint: float | None = None
+    client_retry: bool = False
+    background: bool = False  # goes on though nobody waits
+    id: int = -1
+    backstop: Deadline | None = None
+    wire_id: str = ""  # what workers know it by
+    waiters: list[EdgeSide] = field(default_factory=list)
+    schedulings: list[Scheduling] = field(default_factory=list)  # all that were made, by number
+    ended: bool = False
+    ran: bool = False  # some scheduling was written to a worker and is not known to be unrun
+    share: float = 0.0  # done of it, as last told
--- /dev/null
+++ b/eiderpin/core/schedulings.py
@@ -0,0 +1,55 @@
+"""Schedulings (attempts) and service entries (the workers that discovery or a front lists)."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from eiderpin.core.deadlines import Deadline
+from eiderpin.core.flows import Flow
+from eiderpin.interface import WorkerEntry, WorkerState
+
+
+class WorkerLink(Protocol):
+    """A way to reach workers. What becomes of a scheduling goes back through `Dispatcher.ended`."""
+
+    def send(self, scheduling: Scheduling) -> None: ...
+
+    def cancel(self, scheduling: Scheduling) -> None: ...
+
+    def probe(self, entry: ServiceEntry) -> None: ...
+
+    def entry_changed(self, entry: ServiceEntry) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class ServiceEntry:
+    listed: WorkerEntry
+    address: Any  # means something to its link only
+    link: WorkerLink
+    left_at: float | None = None  # when we were told that it drains or is gone
+
+    @property
+    def name(self) -> str:
+        return self.listed.name
+
+    @property
+    def in_service(self) -> bool:
+        return self.listed.state is WorkerState.IN_SERVICE
+
+    def may_be_sent(self, now: float, grace: float) -> bool:
+        """Whether a first byte may go out now: a drain's grace counts at the write, not at the decision."""
+        return self.left_at is None or now <= self.left_at + grace
+
+
+@dataclass(slots=True, eq=False)
+class Scheduling:
+    flow: Flow
+    number: int
+    entry: ServiceEntry
+    made_at: float
+    timeout: float  # ms after which the dispatcher stops waiting for it
+    accepted: bool = False  # the worker has said that it took the job
+    ended: bool = False
+    expiry: Deadline | None = None
+    handle: Any = None  # the link's own
--- a/beaconglade/decide.py
+++ b/eiderpin/decide.py
@@ -1,4 +1,4 @@
-"""Every decision of a dispatcher. Its types, events and actions are in `beaconglade/interface.py`.
+"""Every decision of a dispatcher. Its types, events and actions are in `eiderpin/interface.py`.
 
 The ordinary path is Park's (k,d)-choice: requests gather into rounds of K, a round draws D_PER_JOB * K ready
 workers uniformly with replacement and fills the K least loaded, at most m jobs on a worker drawn m times,
@@ -15,7 +15,7 @@
 from collections.abc import Iterable
 from zlib import crc32
 
-from beaconglade.interface import (
+from eiderpin.interface import (
     Action,
     AttemptEnded,
     Cancel,
--- a/beaconglade/interface.py
+++ b/eiderpin/interface.py
@@ -118,6 +118,8 @@
     may_advise_wait: bool = False
     max_wait_advice: float = 0.0
     connect_timeout: float = 250.0
+    conn_idle: float = 5000.0  # an idle connection is closed by the worker after this
+    most_held: int = 20000  # requests that an instance may hold open
     # what workers tell
     reports_in_answers: bool = False
     reports_in_probes: bool = False
@@ -157,8 +159,8 @@
         if self.max_attempts < 1:
             raise SettingsError("max_attempts: must be at least 1")
         for key in (
-            "tick", "ask_within", "connect_timeout", "progress_every", "answer_grace", "drain_grace",
-            "warm_up", "cold_multiple", "cold_window", "max_wait_advice",
+            "tick", "ask_within", "connect_timeout", "conn_idle", "progress_every", "answer_grace",
+            "drain_grace", "warm_up", "cold_multiple", "cold_window", "max_wait_advice",
         ):  # fmt: skip
             _not_negative(key, getattr(self, key))
         if not 0 < self.cold_share <= 1:
--- /dev/null
+++ b/eiderpin/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: the loop, the fronts, the worker pools and discovery."""
--- /dev/null
+++ b/eiderpin/net/discovery.py
@@ -0,0 +1,132 @@
+"""The watch on discovery's list."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+
+from eiderpin import interface as api
+from eiderpin.core.deadlines import Deadline
+from eiderpin.core.dispatcher import Dispatcher
+from eiderpin.core.schedulings import WorkerLink
+from eiderpin.net import http
+from eiderpin.net.loop import Connection, Loop
+
+WAIT = 3000  # ms that a watch waits for news; short, for what a silent agent has counts as told soon after
+SILENCE = 700.0  # ms past that after which we ask again, on a new connection
+PAUSE = 50.0  # ms before asking again after a failure; a watch must be renewed within 200 ms
+
+STATES = {
+    "Ready": api.WorkerState.IN_SERVICE,
+    "Terminating": api.WorkerState.DRAINING,
+    "Gone": api.WorkerState.GONE,
+}
+
+
+class BadList(ValueError):
+    """What came is no list of workers."""
+
+
+def address(text: Any) -> tuple[str, int]:
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise BadList(f"{text!r} is no address")
+    return host, int(port)
+
+
+def read_list(said: Any) -> tuple[int, bool, list[tuple[api.WorkerEntry, object]]]:
+    """Generation, whether it is the whole list, and its entries."""
+    if not isinstance(said, dict) or not isinstance(said.get("instances"), list):
+        raise BadList("a list needs instances")
+    entries: list[tuple[api.WorkerEntry, object]] = []
+    for e in said["instances"]:
+        if not isinstance(e, dict) or not isinstance(e.get("instanceId"), str):
+            raise BadList("an instance needs an instanceId")
+        if e.get("lifecycle") not in STATES:
+            raise BadList(f"lifecycle {e.get('lifecycle')!r} is not known")
+        entry = api.WorkerEntry(
+            e["instanceId"],
+            str(e.get("zone") or ""),
+            str(e.get("machineType") or ""),
+            int(e.get("cell") or 0),
+            STATES[e["lifecycle"]],
+            float(e.get("weight") or 1.0),
+            float(e.get("startedAtMs") or 0) or None,
+        )
+        entries.append((entry, address(e.get("hostPort"))))
+    generation = said.get("generation")
+    return (generation if isinstance(generation, int) else 0), bool(said.get("reset")), entries
+
+
+class Discovery:
+    """Asks for the list, then watches it, for as long as the program runs."""
+
+    def __init__(
+        self, loop: Loop, core: Dispatcher, link: WorkerLink, where: tuple[str, int], known: Any
+    ) -> None:
+        self.loop, self.core, self.link, self.where = loop, core, link, where
+        self.generation: int | None = None
+        self.conn: Connection | None = None
+        self.reader = http.ResponseReader()
+        self.limit: Deadline | None = None
+        if known:
+            _, _, entries = read_list(known)
+            core.list_told(link, api.ListKind.STORED, entries)
+        self.ask()
+
+    def ask(self) -> None:
+        target = b"/catalog/members"
+        wait = 0.0
+        if self.generation is not None:
+            target += b"?after=%d&wait_ms=%d" % (self.generation, WAIT)
+            wait = float(WAIT)
+        if self.conn is None:
+            self.conn = self.loop.connect(self.where)
+            if self.conn is None:
+                self.limit = self.loop.deadlines.set(self.loop.clock.now() + PAUSE, self.ask)
+                return
+            self.reader = http.ResponseReader()
+            self.conn.on_data, self.conn.on_end = self.data, self.failed
+        self.limit = self.loop.deadlines.set(self.loop.clock.now() + wait + SILENCE, self.silent)
+        host = f"Host: {self.where[0]}:{self.where[1]}"
+        self.conn.write(http.request("GET", target, (host,)))
+
+    def silent(self) -> None:
+        self.core.counters.add("in.discovery_silent")
+        self.failed()
+
+    def failed(self) -> None:
+        """The agent is silent, has closed or talks nonsense: ask again, on a new connection."""
+        self.loop.deadlines.drop(self.limit)
+        if self.conn is not None:
+            self.conn.close()
+        self.conn = None
+        self.limit = self.loop.deadlines.set(self.loop.clock.now() + PAUSE, self.ask)
+
+    def data(self, data: bytes) -> None:
+        try:
+            messages = self.reader.feed(data)
+            for message in messages:
+                self.answered(message)
+        except (http.BadMessage, BadList, orjson.JSONDecodeError, ValueError, TypeError):
+            self.core.counters.add("in.discovery_bad")
+            self.generation = None
+            self.failed()
+
+    def answered(self, message: http.Message) -> None:
+        if message.status != 200:
+            self.generation = None
+            self.failed()
+            return
+        generation, whole, entries = read_list(orjson.loads(message.body))
+        self.core.counters.add("in.lists")
+        self.generation = generation
+        if whole or entries:
+            kind = api.ListKind.COMPLETE if whole else api.ListKind.CHANGES
+            self.core.list_told(self.link, kind, entries)
+        self.loop.deadlines.drop(self.limit)
+        if not message.keep_alive and self.conn is not None:
+            self.conn.close()
+            self.conn = None
+        self.ask()
--- /dev/null
+++ b/eiderpin/net/loop.py
@@ -0,0 +1,229 @@
+"""The one loop: selectors, connections in numbered slots, and the deadlines."""
+
+from __future__ import annotations
+
+import errno
+import math
+import selectors
+import socket
+from collections.abc import Callable
+
+from eiderpin.core.counters import Counters
+from eiderpin.core.deadlines import Clock, Deadlines
+from eiderpin.core.flows import SlotTable
+
+READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
+CHUNK = 65536
+MOST_UNSENT = 1 << 20  # a peer that leaves more than this unread is cut off
+NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
+
+
+class Connection:
+    """One non-blocking stream. Users set the hooks; after `close` none of them is called."""
+
+    __slots__ = (
+        "loop", "sock", "number", "connecting", "closed", "unsent", "closing", "on_open", "on_data",
+        "on_end", "on_flushed", "taken", "mask",
+    )  # fmt: skip
+
+    def __init__(self, loop: Loop, sock: socket.socket, connecting: bool) -> None:
+        self.loop = loop
+        self.sock = sock
+        self.connecting = connecting
+        self.closed = False
+        self.closing = False  # to be closed once all is written
+        self.unsent = bytearray()
+        self.taken = 0  # bytes that the kernel has taken
+        self.on_open: Callable[[], None] = _nothing
+        self.on_data: Callable[[bytes], None] = _nothing_of
+        self.on_end: Callable[[], None] = _nothing  # the peer has closed, or the stream broke
+        self.on_flushed: Callable[[], None] = _nothing
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.number = loop.connections.add(self)
+        self.mask = WRITE if connecting else READ
+        loop.selector.register(sock, self.mask, self.ready)
+
+    def ready(self, mask: int) -> None:
+        if self.connecting:
+            if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                self._broke()
+                return
+            self.connecting = False
+            self.on_open()
+            if not self.closed:
+                self._want()
+            return
+        if mask & WRITE and not self.closed:
+            self._flush()
+        if mask & READ and not self.closed:
+            try:
+                data = self.sock.recv(CHUNK)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError:
+                self._broke()
+                return
+            if data:
+                self.on_data(data)
+            else:
+                self._broke()
+
+    def write(self, data: bytes) -> None:
+        if self.closed:
+            return
+        self.unsent += data
+        if not self.connecting:
+            self._flush()
+
+    def _flush(self) -> None:
+        try:
+            while self.unsent:
+                sent = self.sock.send(self.unsent)
+                self.taken += sent
+                del self.unsent[:sent]
+        except (BlockingIOError, InterruptedError):
+            if len(self.unsent) > MOST_UNSENT:
+                self._broke()
+                return
+        except OSError:
+            self._broke()
+            return
+        if not self.unsent:
+            self.on_flushed()
+            if self.closing:
+                self.close()
+                return
+        self._want()
+
+    def _want(self) -> None:
+        if self.closed:
+            return
+        mask = READ | WRITE if self.unsent else READ
+        if mask != self.mask:
+            self.mask = mask
+            self.loop.selector.modify(self.sock, mask, self.ready)
+
+    def _broke(self) -> None:
+        if not self.closed:
+            self.close()
+            self.on_end()
+
+    def close_when_sent(self) -> None:
+        if self.unsent:
+            self.closing = True
+        else:
+            self.close()
+
+    def close(self) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        self.loop.connections.remove(self.number)
+        self.loop.selector.unregister(self.sock)
+        self.sock.close()
+
+
+def _nothing() -> None:
+    return None
+
+
+def _nothing_of(data: bytes) -> None:
+    return None
+
+
+class Listener:
+    """Accepts connections while `open` says that there is room for them."""
+
+    def __init__(
+        self, loop: Loop, address: tuple[str, int], taken: Callable[[Connection], None],
+        make_room: Callable[[], None] = _nothing,
+    ) -> None:  # fmt: skip
+        self.loop = loop
+        self.taken = taken
+        self.make_room = make_room
+        self.resting = False
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(address)
+        self.sock.listen(1024)
+        self.sock.setblocking(False)
+        loop.selector.register(self.sock, READ, self.ready)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        host, port = self.sock.getsockname()[:2]
+        return str(host), int(port)
+
+    def ready(self, mask: int) -> None:
+        for _ in range(64):
+            try:
+                sock, _ = self.sock.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                if error.errno in NO_DESCRIPTORS:
+                    # The connection stays in the backlog and the listener readable: without a rest the
+                    # loop would spin on it.
+                    self.loop.counters.add("in.no_descriptor")
+                    self.make_room()
+                    self.rest(20.0)
+                    return
+                continue  # the peer went away while it waited
+            try:
+                connection = Connection(self.loop, sock, False)
+            except OSError:
+                sock.close()
+                continue
+            self.taken(connection)
+
+    def rest(self, ms: float) -> None:
+        if not self.resting:
+            self.resting = True
+            self.loop.selector.unregister(self.sock)
+            self.loop.deadlines.set(self.loop.clock.now() + ms, self._wake)
+
+    def _wake(self) -> None:
+        self.resting = False
+        if self.sock.fileno() >= 0:
+            self.loop.selector.register(self.sock, READ, self.ready)
+
+    def close(self) -> None:
+        if not self.resting:
+            self.loop.selector.unregister(self.sock)
+        self.sock.close()
+
+
+class Loop:
+    def __init__(self, clock: Clock, deadlines: Deadlines, counters: Counters) -> None:
+        self.clock = clock
+        self.deadlines = deadlines
+        self.counters = counters
+        self.selector = selectors.DefaultSelector()
+        self.connections: SlotTable[Connection] = SlotTable()
+
+    def connect(self, address: tuple[str, int]) -> Connection | None:
+        """A connection on its way up; None where it cannot even be begun."""
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError:
+            self.counters.add("out.no_descriptor")
+            return None
+        try:
+            sock.setblocking(False)
+            error = sock.connect_ex(address)
+            if error not in (0, errno.EINPROGRESS):
+                raise OSError(error, "connect")
+            return Connection(self, sock, True)
+        except OSError:
+            sock.close()
+            return None
+
+    def once(self, after: Callable[[], None], longest: float = 1000.0) -> None:
+        """Wait for sockets or the next deadline, serve what is ready, then call `after`."""
+        wait = min(self.deadlines.next_at() - self.clock.now(), longest)
+        for key, mask in self.selector.select(max(0.0, wait if wait < math.inf else longest) / 1000.0):
+            if key.fileobj in self.selector.get_map():  # else: closed by an earlier one of this turn
+                key.data(mask)
+        self.deadlines.run_due(self.clock.now())
+        after()
--- /dev/null
+++ b/eiderpin/net/workers.py
@@ -0,0 +1,302 @@
+"""Pools of connections to the workers that discovery lists, and what workers tell by call-back."""
+
+from __future__ import annotations
+
+import socket
+from typing import Any
+
+import orjson
+
+from eiderpin import interface as api
+from eiderpin.core.deadlines import Deadline
+from eiderpin.core.dispatcher import Dispatcher
+from eiderpin.core.schedulings import Scheduling, ServiceEntry
+from eiderpin.net import http
+from eiderpin.net.loop import Connection, Loop
+
+IDLE_SHARE = 0.5  # of conn_idle: a connection is retired well before its worker closes it
+CALL_LIMIT = 1000.0  # ms for a cancel or a probe
+MOST_IDLE = 64  # connections kept to one worker
+
+
+class WorkerConnection:
+    """One connection to a worker; it carries one exchange at a time."""
+
+    __slots__ = ("workers", "entry", "address", "conn", "reader", "scheduling", "request", "deadline",
+                 "probe_at", "in_exchange")  # fmt: skip
+
+    def __init__(self, workers: HttpWorkers, entry: ServiceEntry, conn: Connection) -> None:
+        self.workers, self.entry, self.address, self.conn = workers, entry, entry.address, conn
+        self.reader = http.ResponseReader()
+        self.scheduling: Scheduling | None = None
+        self.request = b""
+        self.probe_at: float | None = None
+        self.in_exchange = False
+        self.deadline: Deadline | None = None
+        conn.on_open, conn.on_data, conn.on_end = self.opened, self.data, self.end
+
+    def begin(self, request: bytes, scheduling: Scheduling | None, limit: float) -> None:
+        """Take one exchange on; it is written once the connection is up."""
+        self.drop_deadline()
+        self.in_exchange = True
+        self.request, self.scheduling = request, scheduling
+        if scheduling is not None:
+            scheduling.handle = self
+        loop = self.workers.loop
+        if self.conn.connecting:
+            limit = min(limit, self.workers.core.settings.connect_timeout)
+        if limit > 0:
+            self.deadline = loop.deadlines.set(loop.clock.now() + limit, self.too_late)
+        if not self.conn.connecting:
+            self.put()
+
+    def opened(self) -> None:
+        self.drop_deadline()
+        if self.scheduling is None:
+            loop = self.workers.loop
+            self.deadline = loop.deadlines.set(loop.clock.now() + CALL_LIMIT, self.too_late)
+        self.put()
+
+    def put(self) -> None:
+        """Write the request, unless its worker's grace has passed while the connection came up."""
+        scheduling, core = self.scheduling, self.workers.core
+        if scheduling is not None and not core.may_write(scheduling):
+            core.ended(scheduling, api.Outcome.NOT_SENT)
+            self.free(True)
+            return
+        if scheduling is not None:
+            left = max(1, int(scheduling.made_at + scheduling.timeout - core.clock.now()))
+            self.request = self.request.replace(b"@LEFT@", b"%d" % left, 1)
+        self.conn.on_flushed = self.flushed
+        self.conn.write(self.request)
+
+    def flushed(self) -> None:
+        if self.request and self.scheduling is not None:
+            self.workers.core.written(self.scheduling)
+        self.request = b""
+
+    def data(self, data: bytes) -> None:
+        try:
+            messages = self.reader.feed(data)
+        except http.BadMessage:
+            self.conn.close()
+            self.end()
+            return
+        for message in messages:
+            self.answered(message)
+
+    def answered(self, message: http.Message) -> None:
+        core, scheduling = self.workers.core, self.scheduling
+        if not self.in_exchange:
+            self.conn.close()  # nothing was asked
+            self.workers.lost(self)
+            return
+        if self.probe_at is not None:
+            core.probed(self.entry, message.status == 200, core.clock.now() - self.probe_at)
+        elif scheduling is not None:
+            if message.status == 202:
+                scheduling.accepted = True
+            elif message.status in (503, 504) and message.headers.get("srv-declined") == "1":
+                core.ended(scheduling, api.Outcome.REJECTED)
+            else:
+                core.counters.add(f"out.status.{message.status}")
+                core.ended(scheduling, api.Outcome.ERROR)
+        self.free(message.keep_alive and not self.request)
+
+    def free(self, keep: bool) -> None:
+        """The exchange is over."""
+        self.drop_deadline()
+        self.request, self.scheduling, self.probe_at, self.in_exchange = b"", None, None, False
+        if keep and not self.conn.closed:
+            self.workers.rest(self)
+        else:
+            self.conn.close()
+            self.workers.lost(self)
+
+    def end(self) -> None:
+        """The connection was refused, broke or was closed by the worker. Nothing is sent again here: whether
+        it may be is for the decisions to say, by what has gone out."""
+        self.drop_deadline()
+        scheduling, core = self.scheduling, self.workers.core
+        if scheduling is not None:
+            unrun = bool(self.request)  # its last byte has not been written
+            core.ended(scheduling, api.Outcome.NOT_CONNECTED if unrun else api.Outcome.RESET)
+        elif self.probe_at is not None:
+            core.probed(self.entry, False, core.clock.now() - self.probe_at)
+        self.scheduling, self.probe_at, self.in_exchange = None, None, False
+        self.workers.lost(self)
+
+    def too_late(self) -> None:
+        self.conn.close()
+        self.end()
+
+    def drop_deadline(self) -> None:
+        self.workers.loop.deadlines.drop(self.deadline)
+        self.deadline = None
+
+
+class HttpWorkers:
+    """The link to the workers of the platform."""
+
+    def __init__(self, loop: Loop, core: Dispatcher, host: str, most: int) -> None:
+        self.loop, self.core = loop, core
+        self.host = host
+        self.most = most
+        self.open: set[WorkerConnection] = set()
+        self.idle: dict[str, list[WorkerConnection]] = {}
+
+    # -- what the core asks
+
+    def send(self, scheduling: Scheduling) -> None:
+        flow = scheduling.flow
+        headers = (
+            f"Host: {self.host}",
+            f"Req-Id: {flow.wire_id}",
+            "Req-Deadline-Ms: @LEFT@",
+        )
+        connection = self._connection(scheduling.entry)
+        if connection is None:
+            self.core.ended(scheduling, api.Outcome.NOT_SENT)
+            return
+        connection.begin(http.request("POST", flow.target, headers, flow.body), scheduling, 0.0)
+
+    def cancel(self, scheduling: Scheduling) -> None:
+        connection = scheduling.handle
+        if isinstance(connection, WorkerConnection) and connection.scheduling is scheduling:
+            # Before the 202 a closed connection is the cancel; what has been written cannot be unsaid.
+            connection.drop_deadline()
+            connection.scheduling = None
+            connection.conn.close()
+            self.lost(connection)
+            return
+        target = b"/jobs/" + scheduling.flow.wire_id.encode()
+        self._call(scheduling.entry, http.request("DELETE", target, (f"Host: {self.host}",)), None)
+
+    def probe(self, entry: ServiceEntry) -> None:
+        request = http.request("GET", b"/ping", (f"Host: {self.host}",))
+        if not self._call(entry, request, self.core.clock.now()):
+            self.core.probed(entry, False, 0.0)
+
+    def entry_changed(self, entry: ServiceEntry) -> None:
+        """Connections to a process that is gone, or to an address that it has left, are of no use."""
+        gone = entry.listed.state is api.WorkerState.GONE
+        for connection in list(self.idle.get(entry.name, ())):
+            if gone or connection.address != entry.address:
+                connection.drop_deadline()
+                connection.conn.close()
+                self.lost(connection)
+
+    # -- connections
+
+    def _call(self, entry: ServiceEntry, request: bytes, probe_at: float | None) -> bool:
+        connection = self._connection(entry)
+        if connection is None:
+            return False
+        connection.probe_at = probe_at
+        connection.begin(request, None, CALL_LIMIT)
+        return True
+
+    def _connection(self, entry: ServiceEntry) -> WorkerConnection | None:
+        waiting = self.idle.get(entry.name, [])
+        while waiting:
+            connection = waiting.pop()
+            if connection.address == entry.address and _alive(connection.conn.sock):
+                return connection
+            connection.drop_deadline()
+            connection.conn.close()
+            self.lost(connection)
+        if len(self.open) >= self.most:
+            self._retire_one()
+        conn = self.loop.connect(entry.address) if len(self.open) < self.most else None
+        if conn is None:
+            return None
+        self.core.counters.add("out.worker_connections")
+        connection = WorkerConnection(self, entry, conn)
+        self.open.add(connection)
+        return connection
+
+    def _retire_one(self) -> None:
+        for waiting in self.idle.values():
+            if waiting:
+                connection = waiting[0]
+                connection.drop_deadline()
+                connection.conn.close()
+                self.lost(connection)
+                return
+
+    def rest(self, connection: WorkerConnection) -> None:
+        waiting = self.idle.setdefault(connection.entry.name, [])
+        if connection.address != connection.entry.address or len(waiting) >= MOST_IDLE:
+            connection.conn.close()
+            self.lost(connection)
+            return
+        waiting.append(connection)
+        limit = IDLE_SHARE * self.core.settings.conn_idle
+        connection.deadline = self.loop.deadlines.set(self.loop.clock.now() + limit, connection.too_late)
+
+    def lost(self, connection: WorkerConnection) -> None:
+        self.open.discard(connection)
+        waiting = self.idle.get(connection.entry.name, [])
+        if connection in waiting:
+            waiting.remove(connection)
+
+    # -- call-backs
+
+    def news(self, body: bytes) -> int:
+        """Take one call-back; returns the status to answer. Repeated and late ones are answered as well."""
+        try:
+            said: Any = orjson.loads(body)
+        except orjson.JSONDecodeError:
+            return 400
+        if not isinstance(said, dict) or not isinstance(said.get("id"), str):
+            return 400
+        state = said.get("state")
+        self.core.counters.add(f"in.news.{state}" if state in STATES else "in.news.other")
+        flow = self.core.flow_of(said["id"])
+        if flow is None:
+            return 204
+        mine = [s for s in flow.schedulings if s.entry.name == said.get("from")]
+        scheduling = next((s for s in reversed(mine) if not s.ended), None)
+        if scheduling is None:
+            if state == "done" and mine:
+                self.core.late_result(flow, _result(said))
+            return 204
+        if state == "started":
+            self.core.progress(scheduling, True)
+        elif state == "running":
+            share = said.get("share")
+            if isinstance(share, int | float) and 0 <= share <= 1:
+                self.core.progress(scheduling, False, float(share))
+        elif state == "done":
+            self.core.ended(scheduling, api.Outcome.DONE, _result(said))
+        elif state in STATES:
+            self.core.ended(scheduling, STATES[state])
+        return 204
+
+
+STATES = {
+    "started": api.Outcome.DONE,  # this and the next two are told apart above
+    "running": api.Outcome.DONE,
+    "done": api.Outcome.DONE,
+    "failed": api.Outcome.ERROR,
+    "returned": api.Outcome.REJECTED,
+    "lost": api.Outcome.RESET,
+}
+
+
+def _result(said: dict[str, Any]) -> bytes:
+    result = said.get("result")
+    if result is None:
+        return b""
+    return result.encode() if isinstance(result, str) else orjson.dumps(result)
+
+
+def _alive(sock: socket.socket) -> bool:
+    """Whether an idle connection has neither ended nor said anything unasked."""
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except (BlockingIOError, InterruptedError):
+        return True
+    except OSError:
+        return False
+    return False
--- a/beaconglade/simhost.py
+++ b/eiderpin/simhost.py
@@ -6,9 +6,9 @@
 import sys
 from typing import Any, BinaryIO
 
-from beaconglade import interface as api
-from beaconglade import wire
-from beaconglade.decide import Dispatcher
+from eiderpin import interface as api
+from eiderpin import wire
+from eiderpin.decide import Dispatcher
 
 
 class Host:
@@ -92,7 +92,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except (wire.WireError, api.SettingsError) as error:
-        print(f"beaconglade: {error}".replace("\n", " "), file=sys.stderr)
+        print(f"eiderpin: {error}".replace("\n", " "), file=sys.stderr)
         return 2
     return 0
 
--- a/beaconglade/wire.py
+++ b/eiderpin/wire.py
@@ -11,7 +11,7 @@
 
 import orjson
 
-from beaconglade import interface as api
+from eiderpin import interface as api
 
 
 class WireError(ValueError):
@@ -140,6 +140,8 @@
     s.may_advise_wait = _get(limits, "retry_after", bool, s.may_advise_wait, "limits.")
     s.max_wait_advice = _get(limits, "max_retry_after", _NUMBER, s.max_wait_advice, "limits.")
     s.connect_timeout = _get(limits, "connect_timeout", _NUMBER, s.connect_timeout, "limits.")
+    s.conn_idle = _get(limits, "conn_idle", _NUMBER, s.conn_idle, "limits.")
+    s.most_held = _get(limits, "most_held", int, s.most_held, "limits.")
     source = _get(report, "source", str, "silent", "report.")
     s.reports_in_answers = source == "piggyback"
     s.reports_in_probes = source in ("piggyback", "pull")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import settings as hypothesis_settings
 
-from beaconglade import interface as api
+from eiderpin import interface as api
 
 hypothesis_settings.register_profile("ci", derandomize=True, deadline=None, max_examples=40)
 hypothesis_settings.load_profile("ci")
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from beaconglade import interface as api
-from beaconglade.decide import Dispatcher
+from eiderpin import interface as api
+from eiderpin.decide import Dispatcher
 from tests.conftest import finals, fleet, listed, make_settings, sends
 
 NEVER_RAN = [api.Outcome.REJECTED, api.Outcome.NOT_CONNECTED]
--- a/tests/test_quality.py
+++ b/tests/test_quality.py
@@ -23,6 +23,6 @@
 
 
 def test_the_module_keeps_its_limits() -> None:
-    lines = (ROOT / "beaconglade/decide.py").read_text().splitlines()
+    lines = (ROOT / "eiderpin/decide.py").read_text().splitlines()
     assert len([line for line in lines if line.strip()]) <= 1200
     assert max(map(len, lines)) <= 110
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from beaconglade.decide import D_PER_JOB, K, Worker, draw, draw_count, fill
-from beaconglade.decide import Shape as WorkerShape
-from beaconglade.interface import Request
+from eiderpin.decide import D_PER_JOB, K, Worker, draw, draw_count, fill
+from eiderpin.decide import Shape as WorkerShape
+from eiderpin.interface import Request
 from tests.conftest import entry, fleet, listed, make_settings, sends
 
 
@@ -82,7 +82,7 @@
 
 
 def test_a_round_closes_when_it_is_full_or_when_the_tick_ends() -> None:
-    from beaconglade.decide import Dispatcher
+    from eiderpin.decide import Dispatcher
 
     d = Dispatcher(make_settings(), 1)
     d.handle(1000.0, [listed(fleet(12))])
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -13,8 +13,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from beaconglade import interface as api
-from beaconglade.decide import Dispatcher
+from eiderpin import interface as api
+from eiderpin.decide import Dispatcher
 from tests.conftest import entry, listed, make_settings
 
 ENDS = [*[api.Outcome.DONE] * 8, *[o for o in api.Outcome if o is not api.Outcome.NOT_SENT]]
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,9 +10,9 @@
 import orjson
 import pytest
 
-from beaconglade import interface as api
-from beaconglade import wire
-from beaconglade.simhost import Host, serve
+from eiderpin import interface as api
+from eiderpin import wire
+from eiderpin.simhost import Host, serve
 
 CONF: dict[str, Any] = {
     "classes": [
@@ -175,7 +175,7 @@
     ],
 )
 def test_a_line_that_is_no_batch_ends_the_adapter_with_one_plain_line(bad: bytes) -> None:
-    done = subprocess.run([sys.executable, "-B", "-m", "beaconglade.simhost"], input=bad, capture_output=True)
+    done = subprocess.run([sys.executable, "-B", "-m", "eiderpin.simhost"], input=bad, capture_output=True)
     assert done.returncode != 0
     assert done.stdout == b""
     assert done.stderr.count(b"\n") == 1
