Learn a worker's slots from starts where ratings and reports tell nothing

Checked: a probe of the module alone, twelve idle workers and one job of two slots: it is held to its deadline and refused. `slots()` says 1.0: it reads the rating, which is constantly 1 here (`weights` silent), and `room()` then admits one slot a worker, and no 2-slot job at all (0 + 2 <= 1 + 0.5 is false). Changed: without ratings a worker is taken to have four slots; one slot over that is tried now and then, and jobs of ours seen to run at once raise the shape's figure. Late starts and turn-downs end the trials.

--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -67,6 +67,9 @@
 BARREN_TURNS = 4  # turns that place nothing come rarer, down to this many gathering times more apart
 LATE_RESERVE = 0.25  # share of a worker's slots that jobs past their latest start leave free
 FULL_ROUNDS = 2  # this many rounds in a row that place nothing end the turn: there is no room to be found
+SLOTS_GUESS = 4.0  # slots of a worker where neither ratings nor reports tell ...
+START_LATE = 100.0  # ms; ... a start that comes later than this shows a worker that was full ...
+TRIAL_MISSES = 3  # ... and so many such starts, or turn-downs, end the trials of one slot more
 COLD_MARGIN = 0.5  # share of a cold worker's budget that is used; the rest is for chance and misjudged work
 SPAN_MARGIN = 0.9  # share of a memory span in which a guarded repeat is still sent
 
@@ -77,7 +80,7 @@
 class Shape:
     """What is learned of one kind of machine."""
 
-    __slots__ = ("slots", "slow", "runs", "asked", "step", "steps")
+    __slots__ = ("slots", "slow", "runs", "asked", "step", "steps", "misses")
 
     def __init__(self) -> None:
         self.slots = 0.0  # slots of one worker, 0 until a report shows it
@@ -86,6 +89,7 @@
         self.asked = False  # a probe is out that may show the slots
         self.step = 0.0  # requests per core of a worker that holds one: 1 / cores
         self.steps = 0
+        self.misses = 0  # trials of one slot more that found the worker full
 
     def hear_live(self, per_core: float) -> None:
         """Live ratings tell requests per core: their smallest step is one request, and so tells the cores."""
@@ -447,8 +451,42 @@
     # -- load estimate
 
     def slots(self, worker: Worker) -> float:
-        """Slots of a worker: as reports show for its shape, or else as it is rated."""
-        return worker.shape.slots or max(1.0, round(worker.size))
+        """Slots of a worker: as reports or starts show for its shape, or else as it is rated.
+
+        Where ratings are constantly 1 they tell nothing: taken for sizes they would leave every worker one
+        slot, and a job of two slots would never find room anywhere.
+        """
+        if worker.shape.slots:
+            return worker.shape.slots
+        return max(1.0, round(worker.size)) if self.s.ratings else SLOTS_GUESS
+
+    def learns_slots(self) -> bool:
+        """Whether starts are all that tells how many slots a worker has."""
+        return self.s.tells_start and not (self.s.ratings or self.s.reports_in_probes)
+
+    def on_trial(self, worker: Worker, need: float) -> bool:
+        """Whether a job may go one slot over what is known, to see whether it starts at once."""
+        return (
+            self.learns_slots()
+            and worker.shape.misses < TRIAL_MISSES
+            and worker.cold_until <= self.now
+            and worker.ours + need <= self.slots(worker) + 1.0
+        )
+
+    def hear_start(self, attempt: Attempt) -> None:
+        """A start shows room: jobs of ours that run at once are slots that the shape has."""
+        worker, slots = attempt.worker, self.slots(attempt.worker)
+        if self.now - attempt.sent > START_LATE:
+            if worker.ours > slots:
+                worker.shape.misses += 1
+            return
+        running = sum(a.job.need for a in worker.out.values() if a.started >= 0)
+        if running > slots:
+            worker.shape.slots = running
+            worker.shape.misses = 0
+            grown = [w for w in self.workers.values() if w.shape is worker.shape]
+            in_service = sum(w.state is WorkerState.IN_SERVICE for w in grown)
+            self.slots_in_service += in_service * (running - slots)
 
     def warmth(self, worker: Worker) -> float:
         """The share of its capacity that a worker has at least: it warms no slower than evenly."""
@@ -556,7 +594,9 @@
         """
         slots = self.slots(worker)
         spare = LATE_RESERVE * slots if late else 0.0
-        return worker.ours + self.others(worker) + need <= slots + 0.5 - spare
+        if worker.ours + self.others(worker) + need <= slots + 0.5 - spare:
+            return True
+        return not late and self.on_trial(worker, need)
 
     # -- cold workers
 
@@ -787,6 +827,8 @@
             return
         if event.started:
             attempt.started = self.now
+            if self.learns_slots():
+                self.hear_start(attempt)
         elif event.share > 0:
             # Bad news early: a worker gone slow shows in a job's progress long before it ends.
             since = attempt.started if attempt.started >= 0 else attempt.sent
@@ -833,6 +875,8 @@
             self.learn_run(attempt, run)
             return
         if event.outcome is Outcome.REJECTED:
+            if self.learns_slots() and worker.ours + attempt.job.need > self.slots(worker):
+                worker.shape.misses += 1
             self.observe(worker, self.slots(worker) + 1.0, 0.0)
         elif event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
             self.rest(worker)
