Answer jobs that no worker can end in time at once, and say when to come back

Seen: jobs past their aim were held among the late ones up to their deadline, with nothing left to gain, and a refusal named no time to come back.

--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -64,6 +64,7 @@
 REST_LIMIT = 4  # ... up to this many doublings
 KEEP_SHARE = 0.25  # never let failing workers' rests leave less than this share of the fleet to draw from
 RUN_MARGIN = 1.2  # a job is taken to run this many times longer than expected when its latest start is set
+HOPE = 0.7  # a job is given up when even this share of its expected run would end after its aim
 BARREN_TURNS = 4  # turns that place nothing come rarer, down to this many gathering times more apart
 LATE_RESERVE = 0.25  # share of a worker's slots that jobs past their latest start leave free
 FULL_ROUNDS = 2  # this many rounds in a row that place nothing end the turn: there is no room to be found
@@ -668,7 +669,10 @@
                 jobs.append(job)
         while len(jobs) < K and waiting.late:
             job = heapq.heappop(waiting.late)[3]
-            if self.still_waits(job):
+            if self.hopeless(job):
+                if not job.over and not job.out:
+                    self.answer(job)
+            elif self.still_waits(job):
                 jobs.append(job)
         return jobs
 
@@ -688,6 +692,13 @@
             self.answer(job)
         return False
 
+    def hopeless(self, job: Job) -> bool:
+        """Whether no worker could end the job while its answer is still worth something."""
+        if job.spec.late_worth > 0:
+            return False
+        fastest = min((s.slow for s in self.shapes.values()), default=self.slow_mean)
+        return self.now + HOPE * fastest * job.work > job.aim_at
+
     def latest_start(self, job: Job) -> float:
         """When a job must start at typical speed to end within its aim."""
         return job.aim_at - RUN_MARGIN * self.slow_mean * job.work
@@ -785,9 +796,13 @@
 
     def answer(self, job: Job) -> None:
         """Give the final answer ourselves: a refusal where that is true, or else a failure."""
-        self.actions.append(Refuse(job.id) if may_refuse(job) else Fail(job.id))
+        self.actions.append(Refuse(job.id, self.advice()) if may_refuse(job) else Fail(job.id))
         self.end(job)
 
+    def advice(self) -> float | None:
+        """When a refused client may come back: by then about one run time's worth of slots is free."""
+        return min(self.run_mean, self.s.max_wait_advice) if self.s.may_advise_wait else None
+
     def on_gone(self, event: RequestGone) -> None:
         job = self.jobs.get(event.request)
         if job is not None:
