--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -4,6 +4,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
+from dataclasses import replace
 
 from eiderpin import decide
 from eiderpin import interface as api
@@ -56,7 +57,7 @@
             if open_flow is not None:
                 self.counters.add("in.joined")
                 if waiter is not None:
-                    open_flow.waiters.append(waiter)
+                    self._join(open_flow, flow, waiter)
                 open_flow.background = open_flow.background or flow.background
                 return open_flow
             kept = self._kept.get(name)
@@ -82,11 +83,24 @@
         self._events.append(
             api.Request(
                 flow.id, flow.cls, left, flow.slots, flow.memory, flow.tenant, flow.key, flow.hint,
-                flow.client_retry,
+                flow.client_retry, flow.priority,
             )
         )  # fmt: skip
         return flow
 
+    def _join(self, flow: Flow, asked: Flow, waiter: EdgeSide) -> None:
+        """One who joins may give up before the flow's own deadline, and is owed an answer by then."""
+
+        def overdue() -> None:
+            if waiter in flow.waiters:
+                flow.waiters.remove(waiter)
+                self.counters.add("answer.joined_overdue")
+                waiter.answer(flow, Answer(Verdict.FAILED))
+
+        flow.waiters.append(waiter)
+        if asked.deadline < flow.deadline:
+            self.deadlines.set(asked.deadline - ANSWER_MARGIN, overdue)
+
     def _wire_name(self, unique: str) -> str:
         """The id that workers are given: the client's own where it fits a header and is free."""
         fits = 0 < len(unique) <= 128 and unique.isascii() and unique.isprintable() and " " not in unique
@@ -103,7 +117,7 @@
             return
         self.counters.add("in.clients_gone")
         self._events.append(api.RequestGone(flow.id))
-        self._finish(flow, Answer(Verdict.FAILED))
+        self._finish(flow, None)
 
     def detach(self, flow: Flow, waiter: EdgeSide) -> None:
         """As `leave`, but a single-shot job that may have begun goes on, so that a resubmission finds it."""
@@ -135,8 +149,7 @@
             for known in self.entries.values():
                 if known.link is link and known.name not in named:
                     if known.listed.state is not api.WorkerState.GONE:
-                        gone = known.listed
-                        gone.state = api.WorkerState.GONE
+                        gone = replace(known.listed, state=api.WorkerState.GONE)
                         self._tell(known, gone, known.address, now)
                 elif known.link is not link:
                     listed.append(known.listed)
@@ -192,12 +205,20 @@
             for waiter in flow.waiters:
                 waiter.progress(flow, share)
 
+    def data_part(self, scheduling: Scheduling, data: bytes, warning: bool) -> None:
+        """A worker's partial data, for those fronts that pass it on."""
+        for waiter in scheduling.flow.waiters:
+            waiter.data_part(scheduling.flow, data, warning)
+
     def probed(self, entry: ServiceEntry, ok: bool, elapsed: float) -> None:
         self._events.append(api.ProbeEnded(entry.name, ok, elapsed))
 
     def flow_of(self, wire_id: str) -> Flow | None:
         return self._by_wire.get(wire_id)
 
+    def flow_by_unique(self, unique: str) -> Flow | None:
+        return next((f for c in self.classes if (f := self._by_unique.get((c, unique)))), None)
+
     def late_result(self, flow: Flow, result: bytes) -> None:
         """A worker finished a scheduling that had been counted as ended: its result is as good as any."""
         if not flow.ended:
@@ -277,12 +298,14 @@
 
     # -- the end of a flow
 
-    def _finish(self, flow: Flow, answer: Answer) -> None:
+    def _finish(self, flow: Flow, answer: Answer | None) -> None:
+        """The flow is over; without an answer, since nobody waits for one."""
         if not must(not flow.ended, "one final answer per flow"):
             return
         flow.ended = True
         self.deadlines.drop(flow.backstop)
-        self.counters.add(f"answer.{answer.verdict.value}")
+        self.counters.add(f"answer.{answer.verdict.value if answer else 'nobody'}")
+        answer = answer or Answer(Verdict.FAILED)
         if flow.unique and self._by_unique.get((flow.cls, flow.unique)) is flow:
             del self._by_unique[flow.cls, flow.unique]
             self._keep(flow, answer)
--- a/eiderpin/core/flows.py
+++ b/eiderpin/core/flows.py
@@ -107,6 +107,7 @@
     key: str | None = None
     hint: float | None = None
     client_retry: bool = False
+    priority: int = 0
     background: bool = False  # goes on though nobody waits
     id: int = -1
     backstop: Deadline | None = None
--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -110,13 +110,14 @@
     """One worker as this instance sees it."""
 
     __slots__ = (
-        "name", "zone", "shape", "cell", "rating", "size", "born", "state", "ready", "out", "ours",
-        "others", "others_at", "slow", "slow_at", "failures", "trial", "rest_until", "cold_until",
-        "cold_spent", "pools", "ended",
+        "name", "zone", "shape", "shape_name", "cell", "rating", "size", "born", "state", "ready", "out",
+        "ours", "others", "others_at", "slow", "slow_at", "failures", "trial", "rest_until", "cold_until",
+        "cold_spent", "pools", "ended", "classes", "known_slots",
     )  # fmt: skip
 
     def __init__(self, entry: WorkerEntry, shape: Shape) -> None:
         self.name, self.zone, self.cell = entry.name, entry.zone, entry.cell
+        self.shape_name = entry.shape
         self.shape = shape
         self.rating = self.size = entry.rating
         self.born = entry.born
@@ -134,6 +135,8 @@
         self.cold_until = 0.0
         self.cold_spent: list[tuple[float, float]] = []  # (when, slot time) sent while cold, newest window
         self.pools: list[Pool] = []
+        self.classes = entry.classes
+        self.known_slots = entry.slots
         self.ended: list[tuple[float, float, float]] = []  # (sent, ended, slots) of ours, lately
 
 
@@ -159,8 +162,9 @@
             self.place[last.name] = at
 
 
-# A round's kind: the shape its class runs on (None: any) and, for a guarded repeat, its zone or cell.
-Kind = tuple[str | None, str | None, int | None]
+# A round's kind: the shape its class runs on (None: any), for a guarded repeat its zone or cell, and its
+# class where some workers run certain classes only (None: no such worker has been listed).
+Kind = tuple[str | None, str | None, int | None, str | None]
 
 
 # ---- requests ------------------------------------------------------------------------------------------
@@ -181,13 +185,14 @@
 
     __slots__ = (
         "id", "spec", "deadline", "need", "work", "aim_at", "sends", "out", "risky", "streaming",
-        "avoid", "over", "hinted",
+        "avoid", "over", "hinted", "priority",
     )  # fmt: skip
 
     def __init__(self, request: Request, spec: RequestClass, now: float, work: float) -> None:
         self.id = request.id
         self.spec = spec
         self.hinted = bool(request.hint)
+        self.priority = request.priority
         self.deadline = now + request.expires_in
         self.need = max(request.slots, request.memory)
         self.work = work
@@ -236,14 +241,14 @@
     return AFTER_RISK[job.spec.repeat][1] or guarded_by_all
 
 
-def round_kind(job: Job) -> Kind:
+def round_kind(job: Job, by_class: bool) -> Kind:
     """Which workers a job's round may draw from."""
-    anchor = job.anchor()
+    anchor, cls = job.anchor(), job.spec.name if by_class else None
     if anchor is None or job.spec.repeat is not Repeat.GUARDED or job.spec.scope is Scope.ALL:
-        return (job.spec.shape, None, None)
+        return (job.spec.shape, None, None, cls)
     if job.spec.scope is Scope.ZONE:
-        return (job.spec.shape, anchor.worker.zone, None)
-    return (job.spec.shape, None, anchor.worker.cell)
+        return (job.spec.shape, anchor.worker.zone, None, cls)
+    return (job.spec.shape, None, anchor.worker.cell, cls)
 
 
 # ---- rounds --------------------------------------------------------------------------------------------
@@ -280,6 +285,9 @@
     return places[:jobs]
 
 
+Held = tuple[int, float, float, int, Job]
+
+
 class Gathering:
     """Jobs of one kind that wait for their round: first tries, retries and those that found no room.
 
@@ -290,8 +298,8 @@
 
     def __init__(self) -> None:
         self.fresh = 0  # joined since the last round
-        self.in_time: list[tuple[float, float, int, Job]] = []
-        self.late: list[tuple[float, float, int, Job]] = []
+        self.in_time: list[Held] = []
+        self.late: list[Held] = []
         self.due = math.inf
         self.barren = 0  # turns in a row that placed nothing
 
@@ -312,6 +320,8 @@
         self.workers: dict[str, Worker] = {}
         self.shapes: dict[str, Shape] = {}
         self.pools: dict[Kind, Pool] = {}
+        self.everyone = self.pools[None, None, None, None] = Pool()
+        self.by_class = False  # some worker runs certain classes only, so rounds gather by class
         self.in_service = 0
         self.slots_in_service = 0.0
         self.ours = 0.0  # slots committed by us, everywhere
@@ -385,6 +395,7 @@
             for worker in list(self.workers.values()):
                 if worker.name not in named:
                     self.set_state(worker, WorkerState.GONE)
+                    self.forget(worker)
 
     def learn_entry(self, entry: WorkerEntry) -> None:
         worker = self.workers.get(entry.name)
@@ -392,10 +403,12 @@
             shape = self.shapes.setdefault(entry.shape, Shape())
             worker = self.workers[entry.name] = Worker(entry, shape)
             worker.state = WorkerState.GONE
-            keys = {(s, z, c) for s in (None, entry.shape) for z, c in
-                    ((None, None), (entry.zone, None), (None, entry.cell))}  # fmt: skip
-            for key in sorted(keys, key=str):
-                worker.pools.append(self.pools.setdefault(key, Pool()))
+            if entry.classes is not None and not self.by_class:
+                self.gather_by_class()
+            self.place(worker)
+        elif entry.classes != worker.classes:
+            worker.classes = entry.classes
+            self.place(worker)
         if entry.born and entry.born != worker.born:
             # A new process: what was learned of the old one is void, and it starts cold.
             worker.failures, worker.trial, worker.rest_until = 0, False, 0.0
@@ -405,6 +418,43 @@
             worker.cold_until = entry.born + self.s.warm_up
         self.learn_rating(worker, entry.rating)
         self.set_state(worker, entry.state)
+        self.forget(worker)
+
+    def place(self, worker: Worker) -> None:
+        """Put a worker into the pools of what it runs: those of its class are drawn from once some worker
+        runs certain classes only."""
+        ready, serving = worker.ready, worker.state is WorkerState.IN_SERVICE
+        classes: list[str | None] = [None]
+        if self.by_class:
+            classes += [c for c in self.classes if worker.classes is None or c in worker.classes]
+        keys = {(s, z, c, k) for s in (None, worker.shape_name) for z, c in
+                ((None, None), (worker.zone, None), (None, worker.cell)) for k in classes}  # fmt: skip
+        for pool in worker.pools:
+            pool.members -= serving
+            if ready:
+                pool.remove(worker)
+        worker.pools = [self.pools.setdefault(key, Pool()) for key in sorted(keys, key=str)]
+        for pool in worker.pools:
+            pool.members += serving
+            if ready:
+                pool.add(worker)
+
+    def gather_by_class(self) -> None:
+        """From now on rounds hold jobs of one class; those that wait move over."""
+        self.by_class = True
+        for worker in self.workers.values():
+            self.place(worker)
+        waiting, self.gathering = self.gathering, {}
+        for gathering in waiting.values():
+            for held in gathering.in_time + gathering.late:
+                self.gather_job(held[-1])
+
+    def forget(self, worker: Worker) -> None:
+        """A worker that named its classes is one connection of a front: it never comes back by that name, and
+        kept for good such names would pile up."""
+        gone = worker.state is WorkerState.GONE and worker.classes is not None
+        if gone and not worker.out and self.workers.get(worker.name) is worker:
+            del self.workers[worker.name]
 
     def learn_rating(self, worker: Worker, rating: float) -> None:
         worker.rating = rating
@@ -457,8 +507,8 @@
         Where ratings are constantly 1 they tell nothing: taken for sizes they would leave every worker one
         slot, and a job of two slots would never find room anywhere.
         """
-        if worker.shape.slots:
-            return worker.shape.slots
+        if worker.known_slots or worker.shape.slots:
+            return worker.known_slots or worker.shape.slots
         return max(1.0, round(worker.size)) if self.s.ratings else SLOTS_GUESS
 
     def learns_slots(self) -> bool:
@@ -469,6 +519,7 @@
         """Whether a job may go one slot over what is known, to see whether it starts at once."""
         return (
             self.learns_slots()
+            and not worker.known_slots
             and worker.shape.misses < TRIAL_MISSES
             and worker.cold_until <= self.now
             and worker.ours + need <= self.slots(worker) + 1.0
@@ -482,7 +533,7 @@
                 worker.shape.misses += 1
             return
         running = sum(a.job.need for a in worker.out.values() if a.started >= 0)
-        if running > slots:
+        if running > slots and not worker.known_slots:
             worker.shape.slots = running
             worker.shape.misses = 0
             grown = [w for w in self.workers.values() if w.shape is worker.shape]
@@ -629,7 +680,9 @@
     def run_rounds(self) -> None:
         """Close the rounds that are full or due."""
         while self.resting and self.resting[0][0] <= self.now:
-            self.set_ready(self.workers[heapq.heappop(self.resting)[1]])
+            rested = self.workers.get(heapq.heappop(self.resting)[1])
+            if rested is not None:
+                self.set_ready(rested)
         for kind, waiting in list(self.gathering.items()):
             if waiting.fresh >= K or self.now >= waiting.due:
                 self.turn(kind, waiting)
@@ -662,13 +715,13 @@
         """The up to K jobs that leave first."""
         jobs: list[Job] = []
         while len(jobs) < K and waiting.in_time:
-            job = heapq.heappop(waiting.in_time)[3]
+            job = heapq.heappop(waiting.in_time)[-1]
             if self.latest_start(job) < self.now:
                 self.wait(waiting, job)  # its time has passed while it waited
             elif self.still_waits(job):
                 jobs.append(job)
         while len(jobs) < K and waiting.late:
-            job = heapq.heappop(waiting.late)[3]
+            job = heapq.heappop(waiting.late)[-1]
             if self.hopeless(job):
                 if not job.over and not job.out:
                     self.answer(job)
@@ -682,7 +735,7 @@
         latest = self.latest_start(job)
         worth = job.spec.worth if self.s.worth_by_work else job.spec.worth / max(job.work, 1.0)
         heap = waiting.late if latest < self.now else waiting.in_time
-        heapq.heappush(heap, (-worth, -latest, job.id, job))
+        heapq.heappush(heap, (-job.priority, -worth, -latest, job.id, job))
 
     def still_waits(self, job: Job) -> bool:
         """Recheck at the round what held when the job joined it: a memory span may have run out since."""
@@ -766,7 +819,7 @@
 
     def gather_job(self, job: Job) -> None:
         """Let a job wait for the next round of its kind: first tries and retries alike."""
-        kind = round_kind(job)
+        kind = round_kind(job, self.by_class)
         waiting = self.gathering.setdefault(kind, Gathering())
         waiting.fresh += 1
         self.wait(waiting, job)
@@ -826,6 +879,7 @@
         if not event.outcome.never_ran:
             job.risky.append(attempt)
         self.judge(attempt, event)
+        self.forget(worker)
         if event.final or job.over:
             if not job.over:
                 self.end(job)
@@ -902,7 +956,7 @@
         """A failing worker leaves the draw for a while, longer each time in a row, and returns on trial."""
         if worker.rest_until > self.now:
             return
-        pool = self.pools[None, None, None]
+        pool = self.everyone
         if len(pool.items) < KEEP_SHARE * pool.members:
             return  # nearly all look bad: it is our own view that is at fault, so keep serving
         worker.rest_until = self.now + REST * self.run_mean * 2 ** min(worker.failures, REST_LIMIT)
--- a/eiderpin/interface.py
+++ b/eiderpin/interface.py
@@ -194,6 +194,8 @@
     state: WorkerState
     rating: float = 1.0
     born: float | None = None  # when it last started, where that is known
+    classes: frozenset[str] | None = None  # the only classes that it runs; None: all
+    slots: float | None = None  # slots that it is known to have
 
 
 @dataclass(slots=True)
@@ -213,6 +215,7 @@
     key: str | None = None
     hint: float | None = None  # work expected
     client_retry: bool = False
+    priority: int = 0  # of held jobs, those with a higher one leave first
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/eiderpin/net/agent_check.py
@@ -0,0 +1,18 @@
+"""HAProxy's agent-check: one line to whoever connects, the same that `/_health` goes by."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from eiderpin.net.loop import Connection, Listener, Loop
+
+
+class AgentCheck:
+    def __init__(self, loop: Loop, address: tuple[str, int], readiness: Callable[[], str]) -> None:
+        self.readiness = readiness
+        self.listener = Listener(loop, address, self.taken)
+
+    def taken(self, conn: Connection) -> None:
+        """Some balancers send a line of their own first; it is not needed, and not waited for."""
+        conn.write(self.readiness().encode() + b"\n")
+        conn.close_when_sent(linger=True)
--- a/eiderpin/net/edge.py
+++ b/eiderpin/net/edge.py
@@ -49,7 +49,7 @@
             self.waiting.clear()
             text = str(error).encode() + b"\n"
             self.conn.write(http.response(error.status, text, close=True))
-            self.close()
+            self.close(linger=True)
             return
         if self.reader.expects_continue:
             self.reader.expects_continue = False
@@ -106,8 +106,8 @@
         self.leave()
         self.front.forget(self)
 
-    def close(self) -> None:
-        self.conn.close_when_sent()
+    def close(self, linger: bool = False) -> None:
+        self.conn.close_when_sent(linger)
         self.front.forget(self)
 
 
@@ -120,7 +120,7 @@
         core: Dispatcher,
         address: tuple[str, int],
         news: Callable[[bytes], int],
-        ready: Callable[[], bool],
+        ready: Callable[[], str],
         most: int,
     ) -> None:
         self.loop, self.core, self.counters = loop, core, core.counters
@@ -182,10 +182,10 @@
         if path == "/_health":
             if message.method not in ("GET", "HEAD"):
                 edge.reply(405, headers=("Allow: GET, HEAD",))
-            elif self.ready():
-                edge.reply(200, b"" if message.method == "HEAD" else b"ready\n")
             else:
-                edge.reply(503, b"" if message.method == "HEAD" else b"not ready\n")
+                state = self.ready()
+                text = b"" if message.method == "HEAD" else state.encode() + b"\n"
+                edge.reply(200 if state.startswith("up") else 503, text)
         elif path == "/_jobs/news":
             if message.method != "POST":
                 edge.reply(405, headers=("Allow: POST",))
--- /dev/null
+++ b/eiderpin/net/gearman_front.py
@@ -0,0 +1,444 @@
+"""The Gearman front: Gearman clients' jobs become flows, Gearman workers become service entries.
+
+A function is a class. Where it maps what Gearman has no word for:
+
+- a turn-down is WORK_FAIL, after a WORK_EXCEPTION that says when to come back for clients that asked for
+  exceptions; a failure, or the class's deadline, is WORK_FAIL alone;
+- a worker's WORK_FAIL or WORK_EXCEPTION is an error, its drop a reset if it had grabbed the job and a failed
+  connect if it had not; a job placed on it and not grabbed in time was turned away;
+- a worker that withdraws all its functions drains, one whose connection ends is gone.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections import deque
+
+from eiderpin import interface as api
+from eiderpin.core.deadlines import Deadline
+from eiderpin.core.dispatcher import Dispatcher
+from eiderpin.core.flows import Answer, Flow, SlotTable, Verdict
+from eiderpin.core.schedulings import Scheduling, ServiceEntry
+from eiderpin.net.gearman import Kind, Line, Packet, Reader, pack
+from eiderpin.net.loop import Connection, Listener, Loop
+
+GRAB_WAIT = 1000.0  # ms in which a worker must grab what was placed on it
+MOST_OPEN = 1024  # jobs that one client connection may wait for
+MOST_PLACED = 2  # jobs placed on one worker connection, running ones included: it runs one at a time
+VERSION = "0.1.0"
+
+# priority, background
+SUBMITS = {
+    Kind.SUBMIT_JOB: (0, False),
+    Kind.SUBMIT_JOB_BG: (0, True),
+    Kind.SUBMIT_JOB_HIGH: (1, False),
+    Kind.SUBMIT_JOB_HIGH_BG: (1, True),
+    Kind.SUBMIT_JOB_LOW: (-1, False),
+    Kind.SUBMIT_JOB_LOW_BG: (-1, True),
+}
+
+
+class Submission:
+    """One client connection's wait for one flow."""
+
+    __slots__ = ("client", "flow", "handle", "early")
+
+    def __init__(self, client: GearmanConnection) -> None:
+        self.client = client
+        self.flow: Flow | None = None
+        self.handle = b""
+        self.early: Answer | None = None  # given before JOB_CREATED could be written
+
+    def created(self, flow: Flow, handle: bytes) -> None:
+        self.flow, self.handle = flow, handle
+        self.client.put(Kind.JOB_CREATED, handle)
+        if self.early is not None:
+            self.answer(flow, self.early)
+        else:
+            self.client.open.add(self)
+
+    def answer(self, flow: Flow, answer: Answer) -> None:
+        if not self.handle:
+            self.early = answer
+            return
+        self.client.open.discard(self)
+        if answer.verdict is Verdict.SERVED:
+            self.client.put(Kind.WORK_COMPLETE, self.handle, answer.result)
+            return
+        if answer.verdict is Verdict.TURNED_DOWN and self.client.wants_exceptions:
+            wait = "" if answer.wait is None else f", come back after {answer.wait / 1000:.3f} s"
+            self.client.put(Kind.WORK_EXCEPTION, self.handle, f"turned down{wait}".encode())
+        self.client.put(Kind.WORK_FAIL, self.handle)
+
+    def progress(self, flow: Flow, share: float) -> None:
+        if self.handle:
+            self.client.put(Kind.WORK_STATUS, self.handle, b"%d" % round(share * 100), b"100")
+
+    def data_part(self, flow: Flow, data: bytes, warning: bool) -> None:
+        if self.handle:
+            self.client.put(Kind.WORK_WARNING if warning else Kind.WORK_DATA, self.handle, data)
+
+
+class GearmanConnection:
+    """One connection: a client, a worker or both."""
+
+    def __init__(self, front: GearmanFront, conn: Connection) -> None:
+        self.front, self.conn, self.core = front, conn, front.core
+        self.number = -1
+        self.reader = Reader()
+        self.client_id = "-"
+        self.wants_exceptions = False
+        self.open: set[Submission] = set()
+        # as a worker
+        self.abilities: dict[str, float] = {}  # function to its time-out in ms, 0: none
+        self.entry: ServiceEntry | None = None
+        self.asleep = False
+        self.placed: deque[Scheduling] = deque()
+        self.running: dict[bytes, Scheduling] = {}
+        self.waits: dict[Scheduling, Deadline] = {}  # until a grab, then a function's own time-out
+        conn.on_data, conn.on_end = self.data, self.end
+
+    def put(self, kind: Kind, *args: bytes) -> None:
+        self.conn.write(pack(kind, *args))
+
+    def error(self, code: str, text: str) -> None:
+        self.core.counters.add("in.gearman_bad")
+        self.put(Kind.ERROR, code.encode(), text.encode())
+
+    def data(self, data: bytes) -> None:
+        for item in self.reader.feed(data):
+            if self.conn.closed:
+                return
+            if isinstance(item, Packet):
+                self.packet(item)
+            elif isinstance(item, Line):
+                self.conn.write(self.front.admin(item.text))
+            else:
+                self.error(item.code, str(item))
+                if item.fatal:
+                    self.end()
+                    self.conn.close_when_sent(linger=True)
+                    return
+
+    def end(self) -> None:
+        """The peer has gone: what it waited for is left, what it had is lost."""
+        self.conn.on_end = _nothing
+        for submission in list(self.open):
+            if submission.flow is not None:
+                self.core.detach(submission.flow, submission)
+        self.open.clear()
+        for scheduling in list(self.placed):
+            self.drop_wait(scheduling)
+            self.core.ended(scheduling, api.Outcome.NOT_CONNECTED)
+        self.placed.clear()
+        for scheduling in list(self.running.values()):
+            self.drop_wait(scheduling)
+            self.core.ended(scheduling, api.Outcome.RESET)
+        self.running.clear()
+        if self.entry is not None:
+            self.tell(api.WorkerState.GONE)
+            del self.core.entries[self.entry.name]  # it never comes back by that name
+            self.entry = None
+        self.front.connections.remove(self.number)
+
+    def packet(self, packet: Packet) -> None:
+        kind, args = packet.kind, packet.args
+        self.core.counters.add("in.gearman_packets")
+        if kind in SUBMITS:
+            self.submit(kind, *args)
+        elif kind is Kind.ECHO_REQ:
+            self.put(Kind.ECHO_RES, args[0])
+        elif kind is Kind.GET_STATUS:
+            self.put(Kind.STATUS_RES, args[0], *self.front.status_of(self.front.flow_of(args[0])))
+        elif kind is Kind.GET_STATUS_UNIQUE:
+            flow = self.core.flow_by_unique(_text(args[0]))
+            known, running, done, of = self.front.status_of(flow)
+            waiting = len(flow.waiters) if flow is not None else 0
+            self.put(Kind.STATUS_RES_UNIQUE, args[0], known, running, done, of, b"%d" % waiting)
+        elif kind is Kind.OPTION_REQ:
+            if args[0] == b"exceptions":
+                self.wants_exceptions = True
+                self.put(Kind.OPTION_RES, args[0])
+            else:
+                self.error("UNKNOWN_OPTION", "the one option is exceptions")
+        elif kind is Kind.SET_CLIENT_ID:
+            self.client_id = "".join(c if c.isprintable() and c != " " else "_" for c in _text(args[0]))[:64]
+        elif kind in (Kind.CAN_DO, Kind.CAN_DO_TIMEOUT):
+            self.can_do(_text(args[0]), args[1] if len(args) > 1 else b"0")
+        elif kind is Kind.CANT_DO:
+            self.withdraw([_text(args[0])])
+        elif kind is Kind.RESET_ABILITIES:
+            self.withdraw(list(self.abilities))
+        elif kind is Kind.PRE_SLEEP:
+            self.asleep = True
+            if self.placed:
+                self.wake()
+        elif kind in (Kind.GRAB_JOB, Kind.GRAB_JOB_UNIQ):
+            self.grab(kind is Kind.GRAB_JOB_UNIQ)
+        elif kind in (Kind.WORK_COMPLETE, Kind.WORK_FAIL, Kind.WORK_EXCEPTION):
+            self.work_ended(kind, args)
+        elif kind in (Kind.WORK_STATUS, Kind.WORK_DATA, Kind.WORK_WARNING):
+            self.work_goes_on(kind, args)
+        elif kind is not Kind.ALL_YOURS:
+            self.error("UNEXPECTED", f"{kind.name} is not for a job server")
+
+    # -- as a client
+
+    def submit(self, kind: Kind, function: bytes, unique: bytes, body: bytes) -> None:
+        cls = _text(function)
+        spec = self.core.classes.get(cls)
+        if spec is None:
+            self.error("UNKNOWN_FUNCTION", f"there is no class {cls!r}")
+            return
+        if len(self.open) >= MOST_OPEN:
+            self.error("TOO_MANY", "this connection waits for too many jobs")
+            return
+        # By the protocol's custom a unique id of one dash stands for the data itself.
+        name = _text(unique)
+        if unique == b"-":
+            name = "data-" + hashlib.sha1(function + b"\0" + body).hexdigest()
+        priority, background = SUBMITS[kind]
+        flow = Flow(
+            cls, name, b"/" + function, body, self.core.clock.now() + spec.deadline,
+            priority=priority, background=background,
+        )  # fmt: skip
+        submission = Submission(self)
+        joined = self.core.submit(flow, None if background else submission)
+        handle = self.front.handle_of(joined)
+        if background:
+            self.put(Kind.JOB_CREATED, handle)
+        else:
+            submission.created(joined, handle)
+
+    # -- as a worker
+
+    def can_do(self, function: str, timeout: bytes) -> None:
+        if not timeout.isdigit():
+            self.error("BAD_ARGUMENTS", "a time-out is a number of seconds")
+            return
+        self.abilities[function] = min(int(timeout), 86400) * 1000.0
+        if function in self.core.classes:
+            self.tell(api.WorkerState.IN_SERVICE)
+
+    def withdraw(self, functions: list[str]) -> None:
+        """What was placed but not grabbed goes back at once: a drain's grace need not be used up."""
+        for function in functions:
+            self.abilities.pop(function, None)
+        for scheduling in [s for s in self.placed if s.flow.cls not in self.abilities]:
+            self.placed.remove(scheduling)
+            self.drop_wait(scheduling)
+            self.core.ended(scheduling, api.Outcome.NOT_SENT)
+        if self.entry is not None:
+            serves = any(f in self.core.classes for f in self.abilities)
+            self.tell(api.WorkerState.IN_SERVICE if serves else api.WorkerState.DRAINING)
+
+    def tell(self, state: api.WorkerState) -> None:
+        """Tell the core of this worker as it now stands."""
+        now = self.core.clock.now()
+        classes = frozenset(f for f in self.abilities if f in self.core.classes)
+        name = self.entry.name if self.entry is not None else f"gearman-{self.front.next_worker()}"
+        born = self.entry.listed.born if self.entry is not None else now
+        listed = api.WorkerEntry(
+            name, self.core.settings.zone, "gearman", -1, state, born=born, classes=classes, slots=1.0
+        )
+        self.core.list_told(self.front, api.ListKind.CHANGES, [(listed, self)])
+        self.entry = self.core.entries[name]
+
+    def place(self, scheduling: Scheduling) -> None:
+        if len(self.placed) + len(self.running) >= MOST_PLACED:
+            self.core.ended(scheduling, api.Outcome.REJECTED)
+            return
+        self.placed.append(scheduling)
+        at = self.core.clock.now() + GRAB_WAIT
+        self.waits[scheduling] = self.core.deadlines.set(at, lambda: self.not_grabbed(scheduling))
+        if self.asleep:
+            self.wake()
+
+    def wake(self) -> None:
+        self.asleep = False
+        self.put(Kind.NOOP)
+
+    def not_grabbed(self, scheduling: Scheduling) -> None:
+        if scheduling in self.placed:
+            self.placed.remove(scheduling)
+            self.waits.pop(scheduling, None)
+            self.core.ended(scheduling, api.Outcome.REJECTED)
+
+    def grab(self, with_unique: bool) -> None:
+        """Hand out what the decisions placed here, and nothing else."""
+        self.asleep = False
+        while self.placed:
+            scheduling = self.placed.popleft()
+            self.drop_wait(scheduling)
+            if not self.core.may_write(scheduling):
+                # The first byte counts for a drain: its grace has passed while the job waited here.
+                self.core.ended(scheduling, api.Outcome.NOT_SENT)
+                continue
+            flow = scheduling.flow
+            handle = b"%s.%d" % (self.front.handle_of(flow), scheduling.number)
+            self.running[handle] = scheduling
+            if with_unique:
+                unique = flow.unique.encode("latin-1", "replace")
+                self.put(Kind.JOB_ASSIGN_UNIQ, handle, flow.cls.encode(), unique, flow.body)
+            else:
+                self.put(Kind.JOB_ASSIGN, handle, flow.cls.encode(), flow.body)
+            if not scheduling.ended:  # else the connection broke under the write
+                self.core.written(scheduling)
+                self.core.progress(scheduling, True)
+                self.limit_run(handle, scheduling)
+            return
+        self.put(Kind.NO_JOB)
+
+    def limit_run(self, handle: bytes, scheduling: Scheduling) -> None:
+        """A worker may give a time-out with its function (CAN_DO_TIMEOUT)."""
+        limit = self.abilities.get(scheduling.flow.cls, 0.0)
+        if limit:
+            at = self.core.clock.now() + limit
+            self.waits[scheduling] = self.core.deadlines.set(at, lambda: self.overran(handle))
+
+    def overran(self, handle: bytes) -> None:
+        scheduling = self.running.pop(handle, None)
+        if scheduling is not None:
+            self.waits.pop(scheduling, None)
+            self.core.ended(scheduling, api.Outcome.TIMED_OUT)
+
+    def work_ended(self, kind: Kind, args: tuple[bytes, ...]) -> None:
+        scheduling = self.running.pop(args[0], None)
+        if scheduling is None:
+            self.core.counters.add("in.gearman_stray")
+            return
+        self.drop_wait(scheduling)
+        if kind is not Kind.WORK_COMPLETE:
+            self.core.ended(scheduling, api.Outcome.ERROR)
+        elif scheduling.ended:
+            self.core.late_result(scheduling.flow, args[1])
+        else:
+            self.core.ended(scheduling, api.Outcome.DONE, args[1])
+
+    def work_goes_on(self, kind: Kind, args: tuple[bytes, ...]) -> None:
+        scheduling = self.running.get(args[0])
+        if scheduling is None or scheduling.ended:
+            return
+        if kind is Kind.WORK_STATUS:
+            if args[1].isdigit() and args[2].isdigit() and int(args[2]) > 0:
+                self.core.progress(scheduling, False, min(int(args[1]) / int(args[2]), 1.0))
+        else:
+            self.core.data_part(scheduling, args[1], kind is Kind.WORK_WARNING)
+
+    def drop_wait(self, scheduling: Scheduling) -> None:
+        self.core.deadlines.drop(self.waits.pop(scheduling, None))
+
+
+class GearmanFront:
+    """The listener of Gearman clients and workers; also the link to those workers."""
+
+    def __init__(self, loop: Loop, core: Dispatcher, address: tuple[str, int], name: str, most: int) -> None:
+        self.loop, self.core, self.name = loop, core, name
+        self.most = most
+        self.connections: SlotTable[GearmanConnection] = SlotTable()
+        self._workers = 0
+        self._kept = 0
+        self.listener = Listener(loop, address, self.taken)
+
+    def taken(self, conn: Connection) -> None:
+        self.core.counters.add("in.gearman_connections")
+        if len(self.connections) >= self.most:
+            conn.close()
+            self.listener.rest(20.0)
+            return
+        connection = GearmanConnection(self, conn)
+        connection.number = self.connections.add(connection)
+
+    def next_worker(self) -> int:
+        self._workers += 1
+        return self._workers
+
+    # -- what the core asks of a worker link
+
+    def send(self, scheduling: Scheduling) -> None:
+        connection = scheduling.entry.address
+        if isinstance(connection, GearmanConnection) and not connection.conn.closed:
+            connection.place(scheduling)
+        else:
+            self.core.ended(scheduling, api.Outcome.NOT_CONNECTED)
+
+    def cancel(self, scheduling: Scheduling) -> None:
+        """What was not grabbed is taken back; a worker that runs a job cannot be told to stop."""
+        connection = scheduling.entry.address
+        if isinstance(connection, GearmanConnection) and scheduling in connection.placed:
+            connection.placed.remove(scheduling)
+            connection.drop_wait(scheduling)
+
+    def probe(self, entry: ServiceEntry) -> None:
+        connection = entry.address
+        up = isinstance(connection, GearmanConnection) and not connection.conn.closed
+        self.core.probed(entry, up, 0.0)
+
+    def entry_changed(self, entry: ServiceEntry) -> None:
+        """Nothing to do: the connection itself is the entry."""
+
+    # -- handles, status and the text protocol
+
+    def handle_of(self, flow: Flow) -> bytes:
+        """A flow's handle; one that ended at once, with a kept result, gets one of its own."""
+        if flow.id < 0:
+            self._kept += 1
+            return f"H:{self.name}:k{self._kept}".encode()
+        return f"H:{self.name}:{flow.id}".encode()
+
+    def flow_of(self, handle: bytes) -> Flow | None:
+        start = f"H:{self.name}:".encode()
+        number = handle[len(start) :]
+        flow = None
+        if handle.startswith(start) and number.isdigit() and len(number) < 11:
+            flow = self.core.flows.get(int(number))
+        return flow if flow is not None and not flow.ended else None
+
+    def status_of(self, flow: Flow | None) -> tuple[bytes, bytes, bytes, bytes]:
+        """Known, running, and the share done as a fraction."""
+        if flow is None or flow.ended:
+            return b"0", b"0", b"0", b"0"
+        running = any(s.accepted and not s.ended for s in flow.schedulings)
+        return b"1", b"%d" % running, b"%d" % round(flow.share * 100), b"100"
+
+    def admin(self, line: str) -> bytes:
+        if line == "version":
+            return f"OK {VERSION}\n".encode()
+        if line == "status":
+            return "".join([*self._status_lines(), ".\n"]).encode()
+        if line == "workers":
+            return "".join([*self._worker_lines(), ".\n"]).encode()
+        if line == "":
+            return b""
+        return b"ERR UNKNOWN_COMMAND Unknown+server+command\n"
+
+    def _status_lines(self) -> list[str]:
+        lines = []
+        flows = [f for f in self.core.flows.all() if not f.ended]
+        for cls in self.core.classes:
+            of_class = [f for f in flows if f.cls == cls]
+            running = sum(any(s.accepted and not s.ended for s in f.schedulings) for f in of_class)
+            able = [e for e in self.core.entries.values() if e.in_service]
+            workers = sum(e.listed.classes is None or cls in e.listed.classes for e in able)
+            lines.append(f"{cls}\t{len(of_class)}\t{running}\t{workers}\n")
+        return lines
+
+    def _worker_lines(self) -> list[str]:
+        lines = []
+        for c in self.connections.all():
+            try:
+                peer = str(c.conn.sock.getpeername()[0])
+            except OSError:
+                peer = "-"
+            names = "".join(f" {name}" for name in c.abilities)
+            lines.append(f"{c.number} {peer} {c.client_id} :{names}\n")
+        return lines
+
+
+def _nothing() -> None:
+    return None
+
+
+def _text(data: bytes) -> str:
+    """Names and ids as text, byte for byte."""
+    return data.decode("latin-1")
--- a/eiderpin/net/loop.py
+++ b/eiderpin/net/loop.py
@@ -14,6 +14,7 @@
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 CHUNK = 65536
+LINGER = 1000.0  # ms for which a refused peer's input is still read and dropped
 MOST_UNSENT = 1 << 20  # a peer that leaves more than this unread is cut off
 NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
 
@@ -22,8 +23,8 @@
     """One non-blocking stream. Users set the hooks; after `close` none of them is called."""
 
     __slots__ = (
-        "loop", "sock", "number", "connecting", "closed", "unsent", "closing", "on_open", "on_data",
-        "on_end", "on_flushed", "taken", "mask",
+        "loop", "sock", "number", "connecting", "closed", "unsent", "closing", "lingers", "on_open",
+        "on_data", "on_end", "on_flushed", "taken", "mask",
     )  # fmt: skip
 
     def __init__(self, loop: Loop, sock: socket.socket, connecting: bool) -> None:
@@ -31,6 +32,7 @@
         self.sock = sock
         self.connecting = connecting
         self.closed = False
+        self.lingers = False
         self.closing = False  # to be closed once all is written
         self.unsent = bytearray()
         self.taken = 0  # bytes that the kernel has taken
@@ -64,10 +66,10 @@
             except OSError:
                 self._broke()
                 return
-            if data:
-                self.on_data(data)
-            else:
+            if not data:
                 self._broke()
+            elif not self.closing:
+                self.on_data(data)
 
     def write(self, data: bytes) -> None:
         if self.closed:
@@ -91,11 +93,23 @@
             return
         if not self.unsent:
             self.on_flushed()
-            if self.closing:
+            if self.closing and not self.lingers:
                 self.close()
                 return
+            if self.closing:
+                self._linger()
         self._want()
 
+    def _linger(self) -> None:
+        """Closed with input unread, the kernel would send a reset, and the peer might lose our last words."""
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close()
+            return
+        self.on_end = _nothing
+        self.loop.deadlines.set(self.loop.clock.now() + LINGER, self.close)
+
     def _want(self) -> None:
         if self.closed:
             return
@@ -109,10 +123,13 @@
             self.close()
             self.on_end()
 
-    def close_when_sent(self) -> None:
-        if self.unsent:
-            self.closing = True
-        else:
+    def close_when_sent(self, linger: bool = False) -> None:
+        if self.closed or self.closing:
+            return
+        self.closing, self.lingers = True, linger
+        if not self.unsent and linger:
+            self._linger()
+        elif not self.unsent:
             self.close()
 
     def close(self) -> None:
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -17,7 +17,9 @@
 from eiderpin.core.deadlines import Clock, Deadlines
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.net import discovery
+from eiderpin.net.agent_check import AgentCheck
 from eiderpin.net.edge import Edge
+from eiderpin.net.gearman_front import GearmanFront
 from eiderpin.net.loop import Loop
 from eiderpin.net.workers import HttpWorkers
 
@@ -25,6 +27,9 @@
 SPARE = 40  # descriptors kept for the listener, discovery, signals, standard streams and chance
 
 
+FRONTS = "deploy/fronts.json"  # beside the program: which further fronts listen, and where
+
+
 class ConfigError(ValueError):
     """The configuration cannot be used; the message is one plain line."""
 
@@ -38,6 +43,21 @@
     sockets: int
     known: Any
     settings: api.Settings
+    gearman: tuple[str, int] | None = None  # None: off
+    agent_check: tuple[str, int] | None = None
+
+
+def read_fronts(config: Config, text: bytes) -> None:
+    """Take over where the further fronts listen; an empty or missing `listen` leaves one off."""
+    try:
+        said: Any = orjson.loads(text)
+        for name in said:
+            if name not in ("gearman", "agent_check"):
+                raise ConfigError(f"there is no front {name!r}")
+            listen = said[name].get("listen")
+            setattr(config, name, _address(listen) if listen else None)
+    except (ValueError, TypeError, AttributeError) as error:
+        raise ConfigError(f"fronts: {error}".replace("\n", " ")) from None
 
 
 def read_config(text: bytes) -> Config:
@@ -78,23 +98,42 @@
         self.clock, self.deadlines, self.counters = Clock(), Deadlines(), Counters()
         self.loop = Loop(self.clock, self.deadlines, self.counters)
         self.core = Dispatcher(config.settings, config.seed, self.clock, self.deadlines, self.counters)
-        room = config.sockets - SPARE
-        self.workers = HttpWorkers(self.loop, self.core, "service.internal", room // 2)
+        # Workers come first: without descriptors for them nothing that clients ask can be done.
+        room = (config.sockets - SPARE) // (2 if config.gearman is None else 3)
+        self.workers = HttpWorkers(self.loop, self.core, "service.internal", room)
+        self.gearman: GearmanFront | None = None
+        self.agent_check: AgentCheck | None = None
         try:
-            self.edge = Edge(
-                self.loop, self.core, config.listen, self.workers.news, self.ready, room - room // 2
-            )
+            self.edge = Edge(self.loop, self.core, config.listen, self.workers.news, self.readiness, room)
+            if config.gearman is not None:
+                self.gearman = GearmanFront(self.loop, self.core, config.gearman, config.name, room)
+            if config.agent_check is not None:
+                self.agent_check = AgentCheck(self.loop, config.agent_check, self.readiness)
         except OSError as error:
-            raise ConfigError(f"cannot listen on {config.listen[0]}:{config.listen[1]}: {error}") from None
+            raise ConfigError(f"cannot listen: {error}") from None
         self.discovery = discovery.Discovery(
             self.loop, self.core, self.workers, config.discovery, config.known
         )
         self.draining_since: float | None = None
-        self.stopped = False
 
-    def ready(self) -> bool:
-        """Whether new work is welcome: a list has come and no stop was asked for."""
-        return self.core.listed and self.draining_since is None
+    def readiness(self) -> str:
+        """What balancers in front are told, in the words of HAProxy's agent-check: whether new work is
+        welcome, and the share of what we can hold that is free."""
+        if self.draining_since is not None:
+            return "drain"
+        if not any(e.in_service for e in self.core.entries.values()):
+            return "down"
+        most = min(self.edge.most, self.config.settings.most_held)
+        return f"up {max(1, 100 - 100 * len(self.core.flows) // most)}%"
+
+    def addresses(self) -> str:
+        """Where we listen, for whoever started us with port 0."""
+        fronts = {"edge": self.edge, "gearman": self.gearman, "agent-check": self.agent_check}
+        return " ".join(
+            f"{name}={front.listener.address[0]}:{front.listener.address[1]}"
+            for name, front in fronts.items()
+            if front is not None
+        )
 
     def stop(self) -> None:
         """Begin the planned end: serve what comes, and end once all is answered."""
@@ -105,10 +144,13 @@
     def over(self) -> bool:
         if self.draining_since is None or self.clock.now() < self.draining_since + LINGER:
             return False
-        return self.edge.quiet and not any(not f.ended for f in self.core.flows.all())
+        if any(not f.ended for f in self.core.flows.all()) or not self.edge.quiet:
+            return False
+        return self.gearman is None or not any(c.conn.unsent for c in self.gearman.connections.all())
 
     def print_counters(self) -> None:
-        print("\n".join(["counters", *self.counters.lines()]), file=sys.stderr, flush=True)
+        lines = ["counters", *self.counters.lines(), "end of counters"]
+        print("\n".join(lines), file=sys.stderr, flush=True)
 
     def turn(self) -> None:
         """One turn of the loop."""
@@ -118,6 +160,7 @@
     def run(self) -> None:
         """Serve until stopped; SIGTERM and SIGINT stop it, SIGUSR1 prints the counters."""
         self._take_signals()
+        print(f"eiderpin: {self.config.name} listens {self.addresses()}", file=sys.stderr, flush=True)
         while not self.over():
             self.turn()
         self.print_counters()
@@ -147,6 +190,10 @@
     try:
         with open(path, "rb") as file:
             config = read_config(file.read())
+        fronts = os.environ.get("EIDERPIN_FRONTS", FRONTS)
+        if os.path.exists(fronts):
+            with open(fronts, "rb") as file:
+                read_fronts(config, file.read())
         service = Service(config)
     except (OSError, ConfigError) as error:
         print(f"eiderpin: {error}".replace("\n", " "), file=sys.stderr)
