Test the platform's rules over real sockets, and count a head's bytes from its first

The 431 case of the new table found it: on_message_begin reset the count of bytes that had just been added, so a head without end was never refused (net/http.py, _feed).

--- a/eiderpin/net/http.py
+++ b/eiderpin/net/http.py
@@ -51,14 +51,14 @@
         self._body = bytearray()
         self._head = 0
         self._in_head = True
-        self._too_large = 0
+        self._begun = False  # some of a next message has come
 
     # httptools calls these
 
     def on_message_begin(self) -> None:
         self._message = Message()
         self._body = bytearray()
-        self._head, self._in_head = 0, True
+        self._head, self._in_head, self._begun = 0, True, True
 
     def on_url(self, url: bytes) -> None:
         self._message.target += url
@@ -71,7 +71,6 @@
 
     def on_body(self, body: bytes) -> None:
         if len(self._body) + len(body) > MOST_BODY:
-            self._too_large = 413
             raise BadMessage(413, "the body is over 64 KiB")
         self._body += body
 
@@ -88,7 +87,7 @@
         self._message.keep_alive = self._parser_keeps_alive()
         self._finish(self._message)
         self.complete.append(self._message)
-        self._message, self._body, self._head, self._in_head = Message(), bytearray(), 0, True
+        self._begun = False
 
     def _parser_keeps_alive(self) -> bool:
         raise NotImplementedError
@@ -97,8 +96,6 @@
         raise NotImplementedError
 
     def _feed(self, parser: httptools.HttpRequestParser | httptools.HttpResponseParser, data: bytes) -> None:
-        if self._in_head:
-            self._head += len(data)
         try:
             parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -108,7 +105,9 @@
             raise cause if isinstance(cause, BadMessage) else BadMessage(400, "not HTTP") from None
         except httptools.HttpParserError:
             raise BadMessage(400, "not HTTP") from None
-        if self._in_head and self._head > MOST_HEAD:
+        if self._begun and self._in_head:
+            self._head += len(data)
+        if self._head > MOST_HEAD:
             raise BadMessage(431, "the head is over 32 KiB")
 
 
@@ -120,7 +119,7 @@
     @property
     def idle(self) -> bool:
         """Nothing of a next request has come."""
-        return self._in_head and self._head == 0
+        return not self._begun
 
     def feed(self, data: bytes) -> list[Message]:
         """The requests that these bytes complete. Raises `BadMessage`, after which the reader is spent."""
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -319,10 +319,15 @@
 
 @contextlib.contextmanager
 def running(
-    workers: list[HttpWorker], optimized: bool = True, fronts: tuple[str, ...] = (), **config: Any
+    workers: list[HttpWorker],
+    optimized: bool = True,
+    fronts: tuple[str, ...] = (),
+    silent: bool = False,
+    **config: Any,
 ) -> Iterator[tuple[Program, Discovery]]:
     """The program, ready, with discovery and these workers; ends all of them, and checks its end."""
     discovery = Discovery()
+    discovery.silent = silent
     for worker in workers:
         discovery.list(worker.name, worker.port)
     program = Program(discovery, optimized, fronts, **config)
@@ -335,7 +340,6 @@
         broken = [line for line in program.lines if "Traceback" in line or "invariant" in line]
         assert not broken, program.lines
     finally:
-        program.process.poll()
         code = program.stop()
         discovery.stop()
         for worker in workers:
--- /dev/null
+++ b/tests/test_edge.py
@@ -0,0 +1,309 @@
+"""The platform's front over real sockets: one test for each rule of the protocol."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import unittest
+from typing import Any
+
+from tests.standins import SETTINGS, HttpWorker, http_call, running, wait_for
+
+
+def raw(address: str, data: bytes) -> bytes:
+    """What comes back for these bytes, until the connection ends."""
+    host, port = address.split(":")
+    got = b""
+    with socket.create_connection((host, int(port)), timeout=20) as sock:
+        sock.sendall(data)
+        try:
+            while more := sock.recv(65536):
+                got += more
+        except ConnectionResetError:
+            pass
+    return got
+
+
+def never(worker: HttpWorker, rid: str, handler: Any) -> None:
+    """Take the job and tell nothing more of it."""
+    worker.ran[rid] += 1
+    handler.say(202)
+
+
+class Serving(unittest.TestCase):
+    def test_a_job_is_passed_on_unchanged_and_its_result_comes_back(self) -> None:
+        worker = HttpWorker("h1")
+        with running([worker]) as (program, _):
+            path = "/time-lookup/race/7?club=caf%C3%A9"
+            got = http_call(program.edge, "POST", path, b"\0body", Req_Id="a1", Req_Deadline_Ms="5000")
+            self.assertEqual(got[:2], (200, b"h1 ran a1"))
+            _, seen_path, headers, body = worker.seen[0]
+            self.assertEqual((seen_path, headers["req-id"], body), (path, "a1", b"\0body"))
+            self.assertTrue(0 < int(headers["req-deadline-ms"]) <= 5000)
+            counters = program.counters()
+            self.assertEqual((counters["answer.served"], counters["out.schedulings"]), (1, 1))
+
+    def test_bad_requests_get_their_status(self) -> None:
+        head = b"POST /time-lookup HTTP/1.1\r\nHost: x\r\n"
+        ask = head + b"Req-Id: %d\r\nConnection: close\r\n"
+        cases = [
+            (b"nonsense\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nbad header\r\n\r\n", 400),
+            (head + b"Connection: close\r\nContent-Length: 0\r\n\r\n", 400),
+            (ask % 1 + b"Req-Deadline-Ms: soon\r\nContent-Length: 0\r\n\r\n", 400),
+            (ask % 2 + b"Content-Length: 65537\r\n\r\n", 413),
+            (ask % 3 + b"Transfer-Encoding: chunked\r\n\r\n10001\r\n" + b"x" * 65537, 413),
+            (head + b"X: " + b"x" * 40000, 431),
+            (b"GET /time-lookup HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", 405),
+            (b"POST /_health HTTP/1.1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", 405),
+            (b"GET /_jobs/news HTTP/1.1\r\nConnection: close\r\n\r\n", 405),
+            (b"POST /render HTTP/1.1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", 404),
+            (b"GET * HTTP/1.1\r\nConnection: close\r\n\r\n", 404),
+            (b"POST /_jobs/news HTTP/1.1\r\nConnection: close\r\nContent-Length: 4\r\n\r\n[1,2", 400),
+        ]
+        with running([HttpWorker("h1")]) as (program, _):
+            for data, status in cases:
+                with self.subTest(data=data[:60]):
+                    self.assertEqual(raw(program.edge, data)[:13], b"HTTP/1.1 %d " % status)
+            self.assertEqual(http_call(program.edge, "GET", "/_health")[0], 200)
+
+    def test_call_backs_are_always_answered_and_may_come_before_the_202(self) -> None:
+        def early(worker: HttpWorker, rid: str, handler: Any) -> None:
+            statuses.append(worker.tell(rid, "started"))
+            statuses.append(worker.tell(rid, "done", result="early"))
+            statuses.append(worker.tell(rid, "done", result="again"))
+            handler.say(202)
+
+        statuses: list[int] = []
+        worker = HttpWorker("h1", early)
+        with running([worker]) as (program, _):
+            got = http_call(program.edge, "POST", "/result-post", b"", Req_Id="a1")
+            self.assertEqual(got[:2], (200, b"early"))
+            wait_for(lambda: len(statuses) == 3, "the call-backs")
+            statuses.append(worker.tell("unknown", "running", share=0.5))
+            self.assertEqual(statuses, [204] * 4)
+
+    def test_outcomes_and_what_they_lead_to(self) -> None:
+        """For each thing that a worker may do: whether a job of each class is sent again, and the answer."""
+
+        def say(status: int, **headers: str) -> Any:
+            return lambda worker, rid, handler: handler.say(status, **headers)
+
+        def tell(state: str) -> Any:
+            def act(worker: HttpWorker, rid: str, handler: Any) -> None:
+                handler.say(202)
+                worker.tell(rid, state)
+
+            return act
+
+        def cut(worker: HttpWorker, rid: str, handler: Any) -> None:
+            handler.connection.shutdown(socket.SHUT_RDWR)
+
+        cases: list[tuple[str, Any, tuple[int, int], tuple[int, int]]] = [
+            # what it does, time-lookup's answer and runs, result-post's
+            ("500", say(500), (200, 2), (500, 1)),
+            ("503 declined", say(503, Srv_Declined="1"), (200, 2), (200, 2)),
+            ("504 declined", say(504, Srv_Declined="1"), (200, 2), (200, 2)),
+            ("503 alone", say(503), (200, 2), (500, 1)),
+            ("failed", tell("failed"), (200, 2), (500, 1)),
+            ("returned", tell("returned"), (200, 2), (200, 2)),
+            ("lost", tell("lost"), (200, 2), (500, 1)),
+            ("cut", cut, (200, 2), (500, 1)),
+        ]
+        for name, act, *expected in cases:
+            for cls, (status, sends) in zip(("time-lookup", "result-post"), expected, strict=True):
+                with self.subTest(name=name, cls=cls):
+                    first: list[str] = []
+
+                    def once(worker: HttpWorker, rid: str, handler: Any, act: Any = act,
+                             first: list[str] = first) -> None:  # fmt: skip
+                        first.append(worker.name)
+                        (act if len(first) == 1 else HttpWorker.serve)(worker, rid, handler)
+
+                    workers = [HttpWorker("h1", once), HttpWorker("h2", once)]
+                    with running(workers) as (program, _):
+                        got = http_call(program.edge, "POST", f"/{cls}", b"", Req_Id="a1")
+                        self.assertEqual((got[0], len(first)), (status, sends))
+                        self.assertEqual(len(set(first)), sends)
+
+    def test_a_refused_connection_never_ran(self) -> None:
+        with socket.socket() as closed:
+            closed.bind(("127.0.0.1", 0))
+            port = closed.getsockname()[1]
+            with running([]) as (program, discovery):
+                discovery.list("dead", port)
+                program.ready()
+                worker = HttpWorker("h1")
+                worker.back = program.edge
+                threading.Timer(0.3, lambda: discovery.list("h1", worker.port)).start()
+                got = http_call(program.edge, "POST", "/result-post", b"", Req_Id="a1")
+                self.assertEqual(got[:2], (200, b"h1 ran a1"))
+                self.assertGreaterEqual(program.counters()["out.ended.not_connected"], 1)
+                worker.stop()
+
+    def test_the_answer_comes_before_the_deadline(self) -> None:
+        """Nothing has run: turned down, and told when to come back. It may have run: failed."""
+        with running([HttpWorker("h1", never)]) as (program, discovery):
+            for cls, statuses in (("time-lookup", (503, 503)), ("result-post", (500, 503))):
+                for served, status in zip((True, False), statuses, strict=True):
+                    discovery.list("h1", discovery_port(discovery), "Ready" if served else "Gone")
+                    wait_for(lambda d=discovery: d.told == d.generation, "the list")
+                    start = time.monotonic()
+                    got = http_call(
+                        program.edge, "POST", f"/{cls}", b"", Req_Id=f"{cls}{served}", Req_Deadline_Ms="600",
+                        Req_Cost="100000",
+                    )  # fmt: skip
+                    self.assertEqual(got[0], status)
+                    self.assertLess(time.monotonic() - start, 0.6)
+                    if status == 503:
+                        self.assertTrue(0 < float(got[2]["retry-after"]) <= 2.0)
+
+    def test_a_client_that_goes_takes_its_flow_along(self) -> None:
+        worker = HttpWorker("h1", never)
+        with running([worker]) as (program, _):
+            host, port = program.edge.split(":")
+            with socket.create_connection((host, int(port))) as sock:
+                sock.sendall(b"POST /time-lookup HTTP/1.1\r\nReq-Id: a1\r\nContent-Length: 0\r\n\r\n")
+                wait_for(lambda: worker.ran["a1"], "the job to start")
+            # The 202 has been read by then or has not: it is called off either way.
+            wait_for(lambda: program.counters().get("out.ended.cancelled"), "the cancel")
+            wait_for(lambda: any(s[:2] == ("DELETE", "/jobs/a1") for s in worker.seen), "the DELETE")
+
+    def test_one_connection_serves_many_jobs_and_survives_a_broken_kept_alive_one(self) -> None:
+        worker = HttpWorker("h1")
+        with running([worker]) as (program, _):
+            host, port = program.edge.split(":")
+            with socket.create_connection((host, int(port)), timeout=20) as sock:
+                for i in range(5):
+                    sock.sendall(
+                        b"POST /time-lookup HTTP/1.1\r\nReq-Id: k%d\r\nContent-Length: 0\r\n\r\n" % i
+                    )
+                    self.assertIn(b"200 OK", sock.recv(65536))
+            jobs = [s for s in worker.seen if s[0] == "POST"]
+            self.assertEqual(len(jobs), 5)
+            self.assertLess(worker.connections, 5)
+
+
+class Draining(unittest.TestCase):
+    def test_nothing_goes_to_a_draining_worker(self) -> None:
+        workers = [HttpWorker("h1"), HttpWorker("h2")]
+        with running(workers) as (program, discovery):
+            discovery.list("h1", workers[0].port, "Terminating")
+            wait_for(lambda: discovery.told == discovery.generation, "the drain to be told")
+            time.sleep(0.6)  # the rule's grace
+            for i in range(20):
+                self.assertEqual(http_call(program.edge, "POST", "/time-lookup", b"", Req_Id=f"d{i}")[0], 200)
+            self.assertEqual((len(workers[0].ran), len(workers[1].ran)), (0, 20))
+
+    def test_discovery_that_falls_silent_is_asked_again(self) -> None:
+        worker = HttpWorker("h1")
+        with running([worker]) as (program, discovery):
+            discovery.silent = True
+            discovery.list("h1", worker.port)  # ends the watch that is under way
+            asked = discovery.asked
+            wait_for(lambda: discovery.asked > asked + 1, "it to be asked again")
+            self.assertGreaterEqual(program.counters()["in.discovery_silent"], 1)
+            discovery.silent = False
+            new = HttpWorker("h2")
+            new.back = program.edge
+            discovery.list("h2", new.port)
+            wait_for(lambda: discovery.told == discovery.generation, "the new list")
+            new.stop()
+
+    def test_a_known_list_is_enough_to_start_with(self) -> None:
+        worker = HttpWorker("h1")
+        known = {"generation": 3, "reset": True, "instances": [
+            {"instanceId": "h1", "hostPort": f"127.0.0.1:{worker.port}", "zone": "a", "machineType": "m",
+             "cell": 0, "lifecycle": "Ready", "weight": 1.0, "startedAtMs": 0}]}  # fmt: skip
+        with running([], silent=True, known=known) as (program, _):
+            self.assertEqual(http_call(program.edge, "GET", "/_health")[0], 200)
+        worker.stop()
+
+    def test_sigterm_serves_what_comes_and_then_ends(self) -> None:
+        go = threading.Event()
+
+        def wait(worker: HttpWorker, rid: str, handler: Any) -> None:
+            def finish() -> None:
+                go.wait(20)
+                worker.tell(rid, "done", result="late but whole")
+
+            threading.Thread(target=finish, daemon=True).start()
+            handler.say(202)
+
+        worker = HttpWorker("h1", wait)
+        with running([worker], fronts=("agent_check",)) as (program, _):
+            self.assertRegex(raw(program.at["agent-check"], b""), rb"^up \d+%\n$")
+            answers: list[tuple[int, bytes, dict[str, str]]] = []
+
+            def ask(rid: str) -> threading.Thread:
+                def call() -> None:
+                    answers.append(http_call(program.edge, "POST", "/result-post", b"", Req_Id=rid))
+
+                thread = threading.Thread(target=call)
+                thread.start()
+                return thread
+
+            before = ask("t1")
+            wait_for(lambda: len(worker.seen) == 1, "the first job to be out")
+            program.process.send_signal(signal.SIGTERM)
+            wait_for(lambda: raw(program.at["agent-check"], b"") == b"drain\n", "the drain to be told")
+            self.assertEqual(http_call(program.edge, "GET", "/_health")[:2], (503, b"drain\n"))
+            after = ask("t2")
+            wait_for(lambda: len(worker.seen) == 2, "the second job to be out")
+            go.set()
+            before.join()
+            after.join()
+            self.assertEqual([a[:2] for a in answers], [(200, b"late but whole")] * 2)
+            self.assertEqual({a[2].get("connection") for a in answers}, {"close"})
+            self.assertEqual(program.process.wait(20), 0)
+            program.reading.join(20)
+            self.assertIn("answer.served 2", program.lines)
+
+
+class Limits(unittest.TestCase):
+    def test_it_survives_having_no_descriptors_left(self) -> None:
+        """More connections than the limit allows, all idle: jobs are still served."""
+        worker = HttpWorker("h1")
+        with running([worker], limits={"sockets": 200}) as (program, _):
+            host, port = program.edge.split(":")
+            held = [socket.create_connection((host, int(port))) for _ in range(300)]
+            for i in range(5):
+                self.assertEqual(http_call(program.edge, "POST", "/time-lookup", b"", Req_Id=f"l{i}")[0], 200)
+            for sock in held:
+                sock.close()
+
+    def test_bad_configuration_is_one_line_and_exit_2(self) -> None:
+        good: dict[str, Any] = {
+            "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "1", "settings": SETTINGS,
+        }  # fmt: skip
+        cases: list[tuple[Any, str]] = [
+            ("{", "{}"), ([], "{}"), ({}, "{}"), ({**good, "settings": {"classes": []}}, "{}"),
+            ({**good, "listen": "nowhere"}, "{}"), ({**good, "seed": "xyz"}, "{}"),
+            ({**good, "known": {"instances": [{}]}}, "{}"), ({**good, "limits": {"sockets": 8}}, "{}"),
+            ({**good, "listen": "203.0.113.7:70"}, "{}"), (good, "[1"), (good, '{"smoke": {}}'),
+        ]  # fmt: skip
+        with tempfile.TemporaryDirectory() as folder:
+            config, fronts = f"{folder}/config.json", f"{folder}/fronts.json"
+            env = {**os.environ, "GW_CONFIG": config, "EIDERPIN_FRONTS": fronts}
+            for said, front in cases:
+                with self.subTest(said=str(said)[:60], front=front):
+                    with open(config, "w") as file:
+                        file.write(said if isinstance(said, str) else json.dumps(said))
+                    with open(fronts, "w") as file:
+                        file.write(front)
+                    command = [sys.executable, "-m", "eiderpin"]
+                    done = subprocess.run(command, env=env, capture_output=True, timeout=20)
+                    self.assertEqual(done.returncode, 2)
+                    self.assertEqual(done.stderr.count(b"\n"), 1)
+                    self.assertNotIn(b"Traceback", done.stderr)
+
+
+def discovery_port(discovery: Any) -> int:
+    return int(discovery.entries["h1"]["hostPort"].split(":")[1])
