--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,249 @@
+"""The core without a wire: slots, deadlines, what is kept, drains, and how a worker's slots are learned."""
+
+from __future__ import annotations
+
+import unittest
+
+from eiderpin import interface as api
+from eiderpin.core import dispatcher as core
+from eiderpin.core import invariants
+from eiderpin.core.counters import Counters
+from eiderpin.core.deadlines import Clock, Deadlines
+from eiderpin.core.flows import Answer, Flow, SlotTable, TableFull, Verdict
+from eiderpin.core.schedulings import Scheduling, ServiceEntry
+from eiderpin.decide import SLOTS_GUESS
+from eiderpin.decide import Dispatcher as Module
+
+
+class HandClock(Clock):
+    def __init__(self) -> None:
+        self.at = 1_000_000.0
+
+    def now(self) -> float:
+        return self.at
+
+
+class Link:
+    """Notes what it is asked and does nothing of itself."""
+
+    def __init__(self) -> None:
+        self.sent: list[Scheduling] = []
+        self.cancelled: list[Scheduling] = []
+
+    def send(self, scheduling: Scheduling) -> None:
+        self.sent.append(scheduling)
+
+    def cancel(self, scheduling: Scheduling) -> None:
+        self.cancelled.append(scheduling)
+
+    def probe(self, entry: ServiceEntry) -> None: ...
+
+    def entry_changed(self, entry: ServiceEntry) -> None: ...
+
+
+class Client:
+    def __init__(self) -> None:
+        self.got: list[Answer] = []
+
+    def answer(self, flow: Flow, answer: Answer) -> None:
+        self.got.append(answer)
+
+    def progress(self, flow: Flow, share: float) -> None: ...
+
+    def data_part(self, flow: Flow, data: bytes, warning: bool) -> None: ...
+
+
+def entry(name: str, state: api.WorkerState = api.WorkerState.IN_SERVICE) -> api.WorkerEntry:
+    return api.WorkerEntry(name, "a", "m", 0, state)
+
+
+class Bench(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock, self.deadlines, self.counters = HandClock(), Deadlines(), Counters()
+        classes = [
+            api.RequestClass("look", aim=2000, deadline=7000, repeat=api.Repeat.FREE),
+            api.RequestClass("post", aim=2000, deadline=7000),
+        ]
+        settings = api.Settings(
+            classes, tick=4, drain_grace=500, may_cancel=True, may_advise_wait=True, max_wait_advice=2000,
+            parallel_attempts=True,
+        )  # fmt: skip
+        self.core = core.Dispatcher(settings, 1, self.clock, self.deadlines, self.counters)
+        self.link = Link()
+        self.list(entry("w1"), entry("w2"))
+
+    def list(self, *entries: api.WorkerEntry, link: Link | None = None) -> None:
+        kind = api.ListKind.COMPLETE
+        self.core.list_told(link or self.link, kind, [(e, e.name) for e in entries])
+        self.core.decide()
+
+    def pass_time(self, ms: float) -> None:
+        until = self.clock.at + ms
+        while self.deadlines.next_at() <= until:
+            self.clock.at = max(self.clock.at, self.deadlines.next_at())
+            self.deadlines.run_due(self.clock.at)
+            self.core.decide()
+        self.clock.at = until
+
+    def submit(self, cls: str, unique: str, wait: float = 5000.0) -> tuple[Flow, Client]:
+        client = Client()
+        flow = self.core.submit(Flow(cls, unique, b"/", b"", self.clock.at + wait), client)
+        self.core.decide()
+        return flow, client
+
+    def test_a_drain_is_looked_at_again_just_before_the_write(self) -> None:
+        self.submit("look", "a")
+        self.pass_time(100)
+        (sent,) = self.link.sent
+        gone = entry(sent.entry.name, api.WorkerState.DRAINING)
+        self.list(gone, entry("w3"))
+        for after, may in ((0, True), (440, True), (20, False), (100, False)):
+            self.pass_time(after)
+            self.assertIs(self.core.may_write(sent), may)
+
+    def test_a_result_is_kept_for_a_bounded_time_and_number(self) -> None:
+        self.submit("post", "a")
+        self.pass_time(100)
+        self.core.ended(self.link.sent[0], api.Outcome.DONE, b"ranked")
+        self.assertEqual(self.submit("post", "a")[1].got, [Answer(Verdict.SERVED, b"ranked")])
+        self.assertEqual(self.submit("look", "a")[1].got, [])  # another class, another job
+        self.pass_time(core.KEPT_FOR + 1)
+        self.assertEqual(self.submit("post", "a")[1].got, [])
+        for i in range(core.KEPT_COUNT + 10):
+            flow = Flow("look", f"n{i}", b"/", b"", 0.0)
+            self.core._keep(flow, Answer(Verdict.SERVED, b"xy"))
+        self.assertEqual(len(self.core._kept), core.KEPT_COUNT)
+        self.assertEqual(self.core._kept_bytes, 2 * core.KEPT_COUNT)
+
+    def test_one_who_joins_is_answered_by_its_own_deadline(self) -> None:
+        _, first = self.submit("post", "a", 5000)
+        self.pass_time(100)
+        _, joined = self.submit("post", "a", 300)
+        self.pass_time(300)
+        self.assertEqual([a.verdict for a in joined.got], [Verdict.FAILED])
+        self.assertEqual(first.got, [])
+        self.core.ended(self.link.sent[0], api.Outcome.DONE, b"r")
+        self.assertEqual((len(first.got), len(joined.got)), (1, 1))
+
+    def test_a_result_of_a_scheduling_that_was_counted_out_still_serves(self) -> None:
+        flow, client = self.submit("look", "a")
+        self.pass_time(100)
+        self.core.ended(self.link.sent[0], api.Outcome.RESET)
+        self.core.decide()
+        self.pass_time(100)
+        self.core.late_result(flow, b"there after all")
+        self.core.decide()
+        self.assertEqual(client.got, [Answer(Verdict.SERVED, b"there after all")])
+        self.assertEqual(self.link.cancelled, self.link.sent[1:])
+        self.assertEqual(len(self.core.flows), 0)
+
+    def test_every_flow_has_one_answer_in_time_and_leaves_no_trace(self) -> None:
+        clients = [self.submit(("look", "post")[i % 2], f"u{i}", 900)[1] for i in range(40)]
+        self.pass_time(899)
+        self.assertEqual({len(c.got) for c in clients}, {1})
+        self.pass_time(30_000)
+        self.assertEqual((len(self.core.flows), len(self.core._by_wire), len(self.deadlines)), (0, 0, 0))
+
+    def test_one_sources_complete_list_leaves_the_others_workers_alone(self) -> None:
+        other = Link()
+        self.core.list_told(other, api.ListKind.CHANGES, [(entry("g1"), None)])
+        self.list(entry("w2"))
+        states = {name: e.listed.state.value for name, e in self.core.entries.items()}
+        self.assertEqual(states, {"w1": "gone", "w2": "in_service", "g1": "in_service"})
+        self.assertTrue(self.core.module.workers["g1"].ready)
+
+    def test_what_must_hold_is_asserted_or_counted(self) -> None:
+        if __debug__:
+            self.assertRaises(AssertionError, invariants.must, False, "test")
+        else:
+            self.assertFalse(invariants.must(False, "test"))
+        self.assertEqual(invariants.broken.pop("test"), 1)
+
+
+class Tables(unittest.TestCase):
+    def test_an_id_outlives_its_slots_holder_but_finds_no_other(self) -> None:
+        table: SlotTable[str] = SlotTable(2)
+        first, second = table.add("a"), table.add("b")
+        self.assertRaises(TableFull, table.add, "c")
+        self.assertEqual((table.remove(first), table.remove(first)), ("a", None))
+        third = table.add("c")
+        self.assertEqual((table.get(first), table.get(second), table.get(third)), (None, "b", "c"))
+        self.assertEqual(first & 0x7FFF, third & 0x7FFF)
+        for _ in range(1 << 17):
+            table.remove(third)
+            third = table.add("c")
+            self.assertLess(third, 1 << 32)
+
+    def test_deadlines_run_in_order_and_dropped_ones_do_not(self) -> None:
+        deadlines, ran = Deadlines(), []
+        kept = [deadlines.set(t, lambda t=t: ran.append(t)) for t in (3.0, 1.0, 2.0, 9.0)]  # type: ignore[misc]
+        many = [deadlines.set(5.0, lambda: ran.append(5.0)) for _ in range(1000)]
+        for one in many:
+            deadlines.drop(one)
+            deadlines.drop(one)
+        deadlines.drop(kept[2])
+        self.assertEqual(len(deadlines), 3)
+        self.assertLess(len(deadlines._heap), 520)
+        self.assertEqual(deadlines.run_due(8.0), 2)
+        self.assertEqual((ran, deadlines.next_at()), ([1.0, 3.0], 9.0))
+
+
+class Slots(unittest.TestCase):
+    """Where ratings are constantly 1 they say nothing of sizes: no worker may be taken to have one slot."""
+
+    def module(self, tells_start: bool = True) -> Module:
+        spec = api.RequestClass("look", aim=5000, deadline=9000, repeat=api.Repeat.FREE)
+        module = Module(api.Settings([spec], tick=4, ratings=False, tells_start=tells_start), 1)
+        module.handle(1000.0, [api.Membership(api.ListKind.COMPLETE, [entry("w1")])])
+        return module
+
+    def sends(self, module: Module, now: float, events: list[api.Event]) -> list[api.Send]:
+        got = module.handle(now, events) + module.handle(now + 200, [])
+        return [a for a in got if isinstance(a, api.Send)]
+
+    def test_a_job_of_two_slots_finds_room(self) -> None:
+        asked: list[api.Event] = [api.Request(1, "look", 9000.0, slots=2.0, hint=100.0)]
+        self.assertEqual(len(self.sends(self.module(), 1000.0, asked)), 1)
+
+    def test_starts_raise_the_figure_and_late_ones_end_the_trials(self) -> None:
+        for prompt in (True, False):
+            with self.subTest(prompt=prompt):
+                module, now, out = self.module(), 1000.0, 0
+                for number in range(12):
+                    asked: list[api.Event] = [api.Request(number, "look", 9000.0, hint=100.0)]
+                    now += 300
+                    for sent in self.sends(module, now, asked):
+                        out += 1
+                        late = not prompt and out > SLOTS_GUESS
+                        now += 400 if late else 201
+                        module.handle(now, [api.Progress(sent.request, 0, "w1", True)])
+                slots = module.slots(module.workers["w1"])
+                self.assertEqual(slots > SLOTS_GUESS, prompt)
+                self.assertLessEqual(out, slots + 1)
+
+    def test_without_starts_nothing_is_tried(self) -> None:
+        module = self.module(tells_start=False)
+        asked: list[api.Event] = [api.Request(i, "look", 9000.0, hint=100.0) for i in range(20)]
+        self.assertEqual(len(self.sends(module, 1000.0, asked)), SLOTS_GUESS)
+
+    def test_what_cannot_be_in_time_is_turned_down_at_once_with_advice(self) -> None:
+        module = self.module()
+        module.s.may_advise_wait, module.s.max_wait_advice = True, 2000.0
+        asked: list[api.Event] = [api.Request(1, "look", 900.0, hint=4000.0)]
+        got = module.handle(1000.0, asked) + module.handle(1200.0, [])
+        (refused,) = [a for a in got if isinstance(a, api.Refuse)]
+        self.assertTrue(refused.wait and 0 < refused.wait <= 2000.0)
+
+    def test_workers_that_name_their_classes_are_forgotten_when_gone(self) -> None:
+        module = self.module()
+        for i in range(50):
+            for state in (api.WorkerState.IN_SERVICE, api.WorkerState.GONE):
+                named = entry(f"g{i}", state)
+                named.classes = frozenset(["look"])
+                module.handle(2000.0, [api.Membership(api.ListKind.CHANGES, [named])])
+        self.assertEqual(list(module.workers), ["w1"])
+        self.assertEqual({len(p.items) for p in module.pools.values()}, {1})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_quality.py
+++ b/tests/test_quality.py
@@ -26,3 +26,10 @@
     lines = (ROOT / "eiderpin/decide.py").read_text().splitlines()
     assert len([line for line in lines if line.strip()]) <= 1200
     assert max(map(len, lines)) <= 110
+
+
+def test_the_core_holds_without_assertions_too() -> None:
+    done = subprocess.run(
+        [sys.executable, "-O", "-m", "unittest", "tests.test_core"], cwd=ROOT, capture_output=True, text=True
+    )
+    assert done.returncode == 0, done.stderr
