Guess less of what other dispatchers hold where no report tells of it

`others()` guesses that the other dispatcher holds as much as we do, up to MEAN_LIMIT 0.4 of each worker, so `room()` admits two jobs a worker, also while the other one is down. A wrong guess costs one turn-down, which never ran. Now 0.15 (GUESS_LIMIT) where nothing is reported; deployments with reports keep 0.4.

--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -55,6 +55,7 @@
 REPORT_AGE = 500.0  # ms; how old a report is taken to be when it comes: our own sends since then count on top
 FADE = 1.0  # an observation of others' load fades with this many mean run times
 MEAN_LIMIT = 0.4  # others are not taken to hold more than this share of a worker that was not seen lately
+GUESS_LIMIT = 0.15  # and no more than this where no report tells of them: their load is then our own guess
 SEEN_GAIN = 0.02  # weight of a new report in the fleet's mean
 SPEED_GAIN = 0.25  # weight of a new run in a worker's own speed
 SHAPE_GAIN = 0.05  # and in that of its shape and in a class's mean
@@ -569,7 +570,8 @@
         else:
             mean = min((self.s.instances - 1) * self.ours / max(self.slots_in_service, 1.0), 1.0) * slots
         # What the rest of the fleet bears must never close a worker by itself: it leaves a slot free.
-        mean = max(0.0, min(mean, MEAN_LIMIT * slots, slots - 1.0))
+        limit = MEAN_LIMIT if self.seen >= 0 else GUESS_LIMIT
+        mean = max(0.0, min(mean, limit * slots, slots - 1.0))
         if worker.others < 0:
             return mean
         age = (self.now - worker.others_at) / (FADE * self.run_mean)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -226,6 +226,14 @@
         asked: list[api.Event] = [api.Request(i, "look", 9000.0, hint=100.0) for i in range(20)]
         self.assertEqual(len(self.sends(module, 1000.0, asked)), SLOTS_GUESS)
 
+    def test_unseen_dispatchers_do_not_close_a_worker(self) -> None:
+        """With a second dispatcher that may be down, three of four slots are still ours to fill."""
+        spec = api.RequestClass("look", aim=5000, deadline=9000, repeat=api.Repeat.FREE)
+        module = Module(api.Settings([spec], instances=2, tick=4, ratings=False), 1)
+        module.handle(1000.0, [api.Membership(api.ListKind.COMPLETE, [entry("w1"), entry("w2")])])
+        asked: list[api.Event] = [api.Request(i, "look", 9000.0, hint=100.0) for i in range(20)]
+        self.assertGreaterEqual(len(self.sends(module, 1000.0, asked)), 6)
+
     def test_what_cannot_be_in_time_is_turned_down_at_once_with_advice(self) -> None:
         module = self.module()
         module.s.may_advise_wait, module.s.max_wait_advice = True, 2000.0
