Turn jobs down on connections past the limit instead of closing them; guard handlers

Found by reading against PROTOCOL: a job whose last byte was written on an accepted connection is taken, so closing the connection past the limit (net/edge.py, `taken`) would lose it. Such connections now get a 503 with Retry-After for a job and serve call-backs as any other. The request to a worker is built when it is written, so no text of a client's can stand where the remaining time goes. A fault in a handler is counted in release builds and ends no other flow. A result that comes after a result-post's deadline is kept for a resubmission.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -19,6 +19,7 @@
 WAIT_ADVICE = 500.0  # ms told to a turned-down client where the decisions name no figure
 KEPT_FOR = 60_000.0  # ms for which a result is kept for a resubmission
 KEPT_COUNT = 8192
+FAILED = Answer(Verdict.FAILED)
 KEPT_BYTES = 16 * 1024 * 1024
 
 
@@ -95,7 +96,7 @@
             if waiter in flow.waiters:
                 flow.waiters.remove(waiter)
                 self.counters.add("answer.joined_overdue")
-                waiter.answer(flow, Answer(Verdict.FAILED))
+                waiter.answer(flow, FAILED)
 
         flow.waiters.append(waiter)
         if asked.deadline < flow.deadline:
@@ -224,6 +225,8 @@
         if not flow.ended:
             self._events.append(api.RequestGone(flow.id))
             self._finish(flow, Answer(Verdict.SERVED, result))
+        elif flow.unique and self._kept.get((flow.cls, flow.unique), (0.0, None))[1] == FAILED:
+            self._keep(flow, Answer(Verdict.SERVED, result))  # too late for an answer, not for a resubmission
 
     # -- the decisions
 
@@ -252,7 +255,7 @@
             if flow is not None and isinstance(action, api.Refuse):
                 self._finish(flow, Answer(Verdict.TURNED_DOWN, wait=self._wait(action.wait)))
             elif flow is not None:
-                self._finish(flow, Answer(Verdict.FAILED))
+                self._finish(flow, FAILED)
         elif isinstance(action, api.SetTimer):
             handle = action.handle
             self.deadlines.set(action.at, lambda: self._events.append(api.TimerFired(handle)))
@@ -294,7 +297,7 @@
         """The decisions answer each flow before this; should they not, the client still hears."""
         if not must(flow.ended, "every flow is answered by its deadline"):
             self._events.append(api.RequestGone(flow.id))
-            self._finish(flow, Answer(Verdict.FAILED))
+            self._finish(flow, FAILED)
 
     # -- the end of a flow
 
@@ -305,7 +308,7 @@
         flow.ended = True
         self.deadlines.drop(flow.backstop)
         self.counters.add(f"answer.{answer.verdict.value if answer else 'nobody'}")
-        answer = answer or Answer(Verdict.FAILED)
+        answer = answer or FAILED
         if flow.unique and self._by_unique.get((flow.cls, flow.unique)) is flow:
             del self._by_unique[flow.cls, flow.unique]
             self._keep(flow, answer)
@@ -326,7 +329,7 @@
         single = self.classes[flow.cls].repeat is not api.Repeat.FREE
         if answer.verdict is Verdict.SERVED or (single and flow.ran):
             if answer.verdict is not Verdict.SERVED:
-                answer = Answer(Verdict.FAILED)
+                answer = FAILED
             name = (flow.cls, flow.unique)
             old = self._kept.pop(name, None)
             self._kept_bytes += len(answer.result) - (len(old[1].result) if old else 0)
--- a/eiderpin/net/agent_check.py
+++ b/eiderpin/net/agent_check.py
@@ -6,13 +6,21 @@
 
 from eiderpin.net.loop import Connection, Listener, Loop
 
+MOST_OPEN = 16
+
 
 class AgentCheck:
     def __init__(self, loop: Loop, address: tuple[str, int], readiness: Callable[[], str]) -> None:
         self.readiness = readiness
+        self.open: list[Connection] = []
         self.listener = Listener(loop, address, self.taken)
 
     def taken(self, conn: Connection) -> None:
         """Some balancers send a line of their own first; it is not needed, and not waited for."""
+        self.open = [c for c in self.open if not c.closed]
+        if len(self.open) >= MOST_OPEN:
+            conn.close()
+            return
+        self.open.append(conn)
         conn.write(self.readiness().encode() + b"\n")
         conn.close_when_sent(linger=True)
--- a/eiderpin/net/edge.py
+++ b/eiderpin/net/edge.py
@@ -14,6 +14,8 @@
 SWEEP = 5000.0  # ms between looks for edge connections that have stood too long
 IDLE_LIMIT = 120_000.0  # ms
 HALF_LIMIT = 15_000.0  # ms in which a request must have come whole
+EXTRA = 48  # connections past the limit, for call-backs; jobs on them are turned down
+NO_FLOW = Flow("", "", b"", b"", 0.0)
 MOST_WAITING = 16  # requests sent ahead on one edge connection
 MOST_DEADLINE = 600_000.0  # ms
 
@@ -21,12 +23,13 @@
 class EdgeConnection:
     """The client's side of one connection; also workers call back over such a one."""
 
-    __slots__ = ("front", "conn", "reader", "waiting", "flow", "last", "number", "keep", "busy")
+    __slots__ = ("front", "conn", "reader", "waiting", "flow", "last", "number", "keep", "busy", "over")
 
     def __init__(self, front: Edge, conn: Connection) -> None:
         self.front = front
         self.conn = conn
         self.number = -1
+        self.over = False  # beyond what may be held: for call-backs only
         self.reader = http.RequestReader()
         self.waiting: deque[http.Message] = deque()
         self.flow: Flow | None = None
@@ -135,13 +138,11 @@
         self.counters.add("in.edge_connections")
         if len(self.connections) >= self.most:
             self.make_room()
-        if len(self.connections) >= self.most:
-            # All are at work: one more would take descriptors that the workers' side needs.
-            self.counters.add("in.over_connections")
-            conn.close()
-            self.listener.rest(20.0)
-            return
         edge = EdgeConnection(self, conn)
+        edge.over = len(self.connections) >= self.most
+        if len(self.connections) >= self.most + EXTRA:
+            # More would take descriptors that the workers' side needs; these wait in the backlog.
+            self.listener.rest(20.0)
         edge.number = self.connections.add(edge)
 
     def make_room(self) -> None:
@@ -200,6 +201,12 @@
             edge.reply(404, b"no such path\n")
 
     def take(self, edge: EdgeConnection, cls: str, message: http.Message) -> None:
+        if edge.over:
+            # A job that was written must be answered, so the connection is not just closed.
+            self.counters.add("in.over_connections")
+            edge.keep = False
+            edge.answer(NO_FLOW, Answer(Verdict.TURNED_DOWN, wait=self.core.settings.max_wait_advice))
+            return
         try:
             flow = make_flow(cls, message, self.loop.clock.now(), self.core.classes[cls].deadline)
         except ValueError as error:
--- a/eiderpin/net/loop.py
+++ b/eiderpin/net/loop.py
@@ -6,11 +6,13 @@
 import math
 import selectors
 import socket
+import traceback
 from collections.abc import Callable
 
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Clock, Deadlines
 from eiderpin.core.flows import SlotTable
+from eiderpin.core.invariants import must
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 CHUNK = 65536
@@ -241,6 +243,16 @@
         wait = min(self.deadlines.next_at() - self.clock.now(), longest)
         for key, mask in self.selector.select(max(0.0, wait if wait < math.inf else longest) / 1000.0):
             if key.fileobj in self.selector.get_map():  # else: closed by an earlier one of this turn
-                key.data(mask)
-        self.deadlines.run_due(self.clock.now())
-        after()
+                guarded(lambda key=key, mask=mask: key.data(mask))  # type: ignore[misc]
+        guarded(lambda: self.deadlines.run_due(self.clock.now()))
+        guarded(after)
+
+
+def guarded(call: Callable[[], object]) -> None:
+    """A fault of ours on one connection must not end the service of all: in a release build it is told and
+    counted, and each flow still has its deadline."""
+    try:
+        call()
+    except Exception as error:
+        traceback.print_exc()
+        must(False, f"no fault in a handler: {type(error).__name__}")
--- a/eiderpin/net/workers.py
+++ b/eiderpin/net/workers.py
@@ -23,7 +23,7 @@
     """One connection to a worker; it carries one exchange at a time."""
 
     __slots__ = ("workers", "entry", "address", "conn", "reader", "scheduling", "request", "deadline",
-                 "probe_at", "in_exchange")  # fmt: skip
+                 "probe_at", "in_exchange", "unwritten")  # fmt: skip
 
     def __init__(self, workers: HttpWorkers, entry: ServiceEntry, conn: Connection) -> None:
         self.workers, self.entry, self.address, self.conn = workers, entry, entry.address, conn
@@ -32,31 +32,32 @@
         self.request = b""
         self.probe_at: float | None = None
         self.in_exchange = False
+        self.unwritten = False  # some of the request has not been taken by the kernel
         self.deadline: Deadline | None = None
         conn.on_open, conn.on_data, conn.on_end = self.opened, self.data, self.end
 
-    def begin(self, request: bytes, scheduling: Scheduling | None, limit: float) -> None:
-        """Take one exchange on; it is written once the connection is up."""
-        self.drop_deadline()
-        self.in_exchange = True
+    def begin(self, request: bytes, scheduling: Scheduling | None) -> None:
+        """Take one exchange on, a call's request or a scheduling; it is written once the connection is up."""
+        self.in_exchange = self.unwritten = True
         self.request, self.scheduling = request, scheduling
         if scheduling is not None:
             scheduling.handle = self
-        loop = self.workers.loop
         if self.conn.connecting:
-            limit = min(limit, self.workers.core.settings.connect_timeout)
-        if limit > 0:
-            self.deadline = loop.deadlines.set(loop.clock.now() + limit, self.too_late)
-        if not self.conn.connecting:
-            self.put()
+            self.limit(self.workers.core.settings.connect_timeout)
+        else:
+            self.opened()
 
     def opened(self) -> None:
         self.drop_deadline()
         if self.scheduling is None:
-            loop = self.workers.loop
-            self.deadline = loop.deadlines.set(loop.clock.now() + CALL_LIMIT, self.too_late)
+            self.limit(CALL_LIMIT)
         self.put()
 
+    def limit(self, ms: float) -> None:
+        self.drop_deadline()
+        loop = self.workers.loop
+        self.deadline = loop.deadlines.set(loop.clock.now() + ms, self.too_late)
+
     def put(self) -> None:
         """Write the request, unless its worker's grace has passed while the connection came up."""
         scheduling, core = self.scheduling, self.workers.core
@@ -65,15 +66,14 @@
             self.free(True)
             return
         if scheduling is not None:
-            left = max(1, int(scheduling.made_at + scheduling.timeout - core.clock.now()))
-            self.request = self.request.replace(b"@LEFT@", b"%d" % left, 1)
+            self.request = self.workers.job(scheduling)
         self.conn.on_flushed = self.flushed
         self.conn.write(self.request)
 
     def flushed(self) -> None:
-        if self.request and self.scheduling is not None:
+        if self.unwritten and self.scheduling is not None:
             self.workers.core.written(self.scheduling)
-        self.request = b""
+        self.unwritten = False
 
     def data(self, data: bytes) -> None:
         try:
@@ -101,12 +101,13 @@
             else:
                 core.counters.add(f"out.status.{message.status}")
                 core.ended(scheduling, api.Outcome.ERROR)
-        self.free(message.keep_alive and not self.request)
+        self.free(message.keep_alive and not self.unwritten)
 
     def free(self, keep: bool) -> None:
         """The exchange is over."""
         self.drop_deadline()
-        self.request, self.scheduling, self.probe_at, self.in_exchange = b"", None, None, False
+        self.scheduling, self.probe_at = None, None
+        self.in_exchange = self.unwritten = False
         if keep and not self.conn.closed:
             self.workers.rest(self)
         else:
@@ -119,8 +120,7 @@
         self.drop_deadline()
         scheduling, core = self.scheduling, self.workers.core
         if scheduling is not None:
-            unrun = bool(self.request)  # its last byte has not been written
-            core.ended(scheduling, api.Outcome.NOT_CONNECTED if unrun else api.Outcome.RESET)
+            core.ended(scheduling, api.Outcome.NOT_CONNECTED if self.unwritten else api.Outcome.RESET)
         elif self.probe_at is not None:
             core.probed(self.entry, False, core.clock.now() - self.probe_at)
         self.scheduling, self.probe_at, self.in_exchange = None, None, False
@@ -148,17 +148,18 @@
     # -- what the core asks
 
     def send(self, scheduling: Scheduling) -> None:
-        flow = scheduling.flow
-        headers = (
-            f"Host: {self.host}",
-            f"Req-Id: {flow.wire_id}",
-            "Req-Deadline-Ms: @LEFT@",
-        )
         connection = self._connection(scheduling.entry)
         if connection is None:
-            self.core.ended(scheduling, api.Outcome.NOT_SENT)
-            return
-        connection.begin(http.request("POST", flow.target, headers, flow.body), scheduling, 0.0)
+            self.core.ended(scheduling, api.Outcome.NOT_SENT)  # for want of a descriptor of our own
+        else:
+            connection.begin(b"", scheduling)
+
+    def job(self, scheduling: Scheduling) -> bytes:
+        """The request, as it is written now."""
+        flow = scheduling.flow
+        left = max(1, int(scheduling.made_at + scheduling.timeout - self.core.clock.now()))
+        headers = (f"Host: {self.host}", f"Req-Id: {flow.wire_id}", f"Req-Deadline-Ms: {left}")
+        return http.request("POST", flow.target, headers, flow.body)
 
     def cancel(self, scheduling: Scheduling) -> None:
         connection = scheduling.handle
@@ -193,7 +194,7 @@
         if connection is None:
             return False
         connection.probe_at = probe_at
-        connection.begin(request, None, CALL_LIMIT)
+        connection.begin(request, None)
         return True
 
     def _connection(self, entry: ServiceEntry) -> WorkerConnection | None:
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -24,7 +24,7 @@
 from eiderpin.net.workers import HttpWorkers
 
 LINGER = 600.0  # ms after SIGTERM in which new connections may still come
-SPARE = 40  # descriptors kept for the listener, discovery, signals, standard streams and chance
+SPARE = 96  # descriptors kept for call-backs, the listeners, discovery and chance
 
 
 FRONTS = "deploy/fronts.json"  # beside the program: which further fronts listen, and where
@@ -79,7 +79,7 @@
             discovery.read_list(known)
     except (ValueError, TypeError, AttributeError) as error:
         raise ConfigError(f"{error}".replace("\n", " ")) from None
-    if sockets < 4 * SPARE:
+    if sockets < SPARE + 32:
         raise ConfigError(f"limits.sockets: {sockets} are too few")
     return Config(str(said.get("name") or "eiderpin"), listen, where, seed, sockets, known, settings)
 
@@ -98,15 +98,17 @@
         self.clock, self.deadlines, self.counters = Clock(), Deadlines(), Counters()
         self.loop = Loop(self.clock, self.deadlines, self.counters)
         self.core = Dispatcher(config.settings, config.seed, self.clock, self.deadlines, self.counters)
-        # Workers come first: without descriptors for them nothing that clients ask can be done.
-        room = (config.sockets - SPARE) // (2 if config.gearman is None else 3)
+        # A worker has a few slots, so its side needs few descriptors, but must never be without: each front
+        # is held to its share.
+        room = (config.sockets - SPARE) // 3
+        fronts = 2 * room if config.gearman is None else room
         self.workers = HttpWorkers(self.loop, self.core, "service.internal", room)
         self.gearman: GearmanFront | None = None
         self.agent_check: AgentCheck | None = None
         try:
-            self.edge = Edge(self.loop, self.core, config.listen, self.workers.news, self.readiness, room)
+            self.edge = Edge(self.loop, self.core, config.listen, self.workers.news, self.readiness, fronts)
             if config.gearman is not None:
-                self.gearman = GearmanFront(self.loop, self.core, config.gearman, config.name, room)
+                self.gearman = GearmanFront(self.loop, self.core, config.gearman, config.name, fronts)
             if config.agent_check is not None:
                 self.agent_check = AgentCheck(self.loop, config.agent_check, self.readiness)
         except OSError as error:
