Never close a fresh edge connection whose first request is on its way

Seen: the new test of busy connections past the limit waited in vain for a turn-down: accepting thirty at once, `make_room` closed those just accepted, which had not been read from yet (net/edge.py: `idle` held for them). By PROTOCOL only a connection between requests may be closed; on a fresh one the job may be written already. The same held at SIGTERM in `drain`. Now room is made of connections idle for 100 ms, a drain closes only those that have had an answer, and a resting listener stops accepting at once.

--- a/eiderpin/net/edge.py
+++ b/eiderpin/net/edge.py
@@ -16,6 +16,7 @@
 HALF_LIMIT = 15_000.0  # ms in which a request must have come whole
 EXTRA = 48  # connections past the limit, for call-backs; jobs on them are turned down
 NO_FLOW = Flow("", "", b"", b"", 0.0)
+FRESH = 100.0  # ms for which a connection is not closed to make room: its request is on its way
 MOST_WAITING = 16  # requests sent ahead on one edge connection
 MOST_DEADLINE = 600_000.0  # ms
 
@@ -23,12 +24,15 @@
 class EdgeConnection:
     """The client's side of one connection; also workers call back over such a one."""
 
-    __slots__ = ("front", "conn", "reader", "waiting", "flow", "last", "number", "keep", "busy", "over")
+    __slots__ = (
+        "front", "conn", "reader", "waiting", "flow", "last", "number", "keep", "busy", "over", "served",
+    )  # fmt: skip
 
     def __init__(self, front: Edge, conn: Connection) -> None:
         self.front = front
         self.conn = conn
         self.number = -1
+        self.served = False  # it has had an answer: now and then it stands between requests
         self.over = False  # beyond what may be held: for call-backs only
         self.reader = http.RequestReader()
         self.waiting: deque[http.Message] = deque()
@@ -71,7 +75,7 @@
             self.front.serve(self, message)
 
     def reply(self, status: int, body: bytes = b"", headers: tuple[str, ...] = ()) -> None:
-        self.busy, self.flow = False, None
+        self.busy, self.served, self.flow = False, True, None
         self.last = self.front.loop.clock.now()
         keep = self.keep and not self.front.draining
         self.conn.write(http.response(status, body, headers, close=not keep))
@@ -147,7 +151,8 @@
 
     def make_room(self) -> None:
         """Close the edge connections that have been idle longest; a client opens another when it needs it."""
-        idle = sorted((e for e in self.connections.all() if e.idle), key=lambda e: e.last)
+        old = self.loop.clock.now() - FRESH
+        idle = sorted((e for e in self.connections.all() if e.idle and e.last < old), key=lambda e: e.last)
         for edge in idle[: max(1, len(idle) // 4)]:
             edge.close()
 
@@ -168,7 +173,7 @@
         """Stop keep-alive; the listener stays, for call-backs and for what the front still sends."""
         self.draining = True
         for edge in self.connections.all():
-            if edge.idle:
+            if edge.idle and edge.served:  # else its first request is on its way, and is answered
                 edge.close()
 
     @property
--- a/eiderpin/net/loop.py
+++ b/eiderpin/net/loop.py
@@ -176,6 +176,8 @@
 
     def ready(self, mask: int) -> None:
         for _ in range(64):
+            if self.resting:
+                return
             try:
                 sock, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError):
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -279,6 +280,33 @@
             for sock in held:
                 sock.close()
 
+    def test_it_survives_the_kernels_own_limit(self) -> None:
+        worker = HttpWorker("h1")
+        with running([worker]) as (program, _):
+            resource.prlimit(program.process.pid, resource.RLIMIT_NOFILE, (40, 40))
+            host, port = program.edge.split(":")
+            held = [socket.create_connection((host, int(port))) for _ in range(60)]
+            for i in range(5):
+                self.assertEqual(http_call(program.edge, "POST", "/time-lookup", b"", Req_Id=f"l{i}")[0], 200)
+            self.assertGreaterEqual(program.counters()["in.no_descriptor"], 1)
+            for sock in held:
+                sock.close()
+
+    def test_past_the_limit_of_busy_connections_jobs_are_turned_down_and_call_backs_answered(self) -> None:
+        worker = HttpWorker("h1", never)
+        with running([worker], limits={"sockets": 128}) as (program, _):
+            host, port = program.edge.split(":")
+            held = [socket.create_connection((host, int(port)), timeout=20) for _ in range(30)]
+            for i, sock in enumerate(held):
+                sock.sendall(b"POST /result-post HTTP/1.1\r\nReq-Id: b%d\r\nContent-Length: 0\r\n\r\n" % i)
+            wait_for(lambda: program.counters().get("in.flows") == 20, "the room to be taken")
+            status, _, headers = http_call(program.edge, "POST", "/result-post", Req_Id="x")
+            self.assertEqual(status, 503)
+            self.assertTrue(0 < float(headers["retry-after"]) <= 2.0)
+            self.assertEqual(worker.tell("unknown", "started"), 204)
+            for sock in held:
+                sock.close()
+
     def test_bad_configuration_is_one_line_and_exit_2(self) -> None:
         good: dict[str, Any] = {
             "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "1", "settings": SETTINGS,
