Keep nothing of a turned-down job: it may be asked again, as it was told

Found by reading: `Flow.ran` was set at the write and never taken back, so a result-post that a worker had turned away unseen and that was then turned down was kept as failed for 60 s (core/dispatcher.py, `_keep`), though its client had been told that trying again is harmless. What may have run is now known by scheduling, and an outcome that proves the job unrun clears it. The new test fails before (1 send instead of 2). Also the backstop at a flow's deadline lets the decisions have their word first, should the loop be late.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -123,7 +123,7 @@
     def detach(self, flow: Flow, waiter: EdgeSide) -> None:
         """As `leave`, but a single-shot job that may have begun goes on, so that a resubmission finds it."""
         repeat = self.classes[flow.cls].repeat
-        if flow.unique and flow.ran and repeat is not api.Repeat.FREE and not flow.ended:
+        if flow.unique and flow.may_have_run() and repeat is not api.Repeat.FREE and not flow.ended:
             flow.background = True
         self.leave(flow, waiter)
 
@@ -172,7 +172,7 @@
 
     def written(self, scheduling: Scheduling) -> None:
         """The whole of a send is out: from here on it may have run."""
-        scheduling.flow.ran = True
+        scheduling.may_have_run = True
         self.counters.add("out.schedulings")
 
     def ended(self, scheduling: Scheduling, outcome: api.Outcome, result: bytes = b"") -> None:
@@ -181,6 +181,8 @@
             return
         scheduling.ended = True
         self.deadlines.drop(scheduling.expiry)
+        if outcome.never_ran:
+            scheduling.may_have_run = False
         self.counters.add(f"out.ended.{outcome.value}")
         flow = scheduling.flow
         if outcome is api.Outcome.DONE and not flow.ended:
@@ -295,6 +297,8 @@
 
     def _overdue(self, flow: Flow) -> None:
         """The decisions answer each flow before this; should they not, the client still hears."""
+        if not flow.ended:
+            self.decide()  # late as we are, theirs may be the word that comes in this very turn
         if not must(flow.ended, "every flow is answered by its deadline"):
             self._events.append(api.RequestGone(flow.id))
             self._finish(flow, FAILED)
@@ -327,7 +331,7 @@
     def _keep(self, flow: Flow, answer: Answer) -> None:
         """Keep what a resubmission must be told: a result, or that a job which may not run twice may have."""
         single = self.classes[flow.cls].repeat is not api.Repeat.FREE
-        if answer.verdict is Verdict.SERVED or (single and flow.ran):
+        if answer.verdict is Verdict.SERVED or (single and flow.may_have_run()):
             if answer.verdict is not Verdict.SERVED:
                 answer = FAILED
             name = (flow.cls, flow.unique)
--- a/eiderpin/core/flows.py
+++ b/eiderpin/core/flows.py
@@ -115,5 +115,7 @@
     waiters: list[EdgeSide] = field(default_factory=list)
     schedulings: list[Scheduling] = field(default_factory=list)  # all that were made, by number
     ended: bool = False
-    ran: bool = False  # some scheduling was written to a worker and is not known to be unrun
     share: float = 0.0  # done of it, as last told
+
+    def may_have_run(self) -> bool:
+        return any(s.may_have_run for s in self.schedulings)
--- a/eiderpin/core/schedulings.py
+++ b/eiderpin/core/schedulings.py
@@ -50,6 +50,7 @@
     made_at: float
     timeout: float  # ms after which the dispatcher stops waiting for it
     accepted: bool = False  # the worker has said that it took the job
+    may_have_run: bool = False  # written to its worker, and not known to be unrun
     ended: bool = False
     expiry: Deadline | None = None
     handle: Any = None  # the link's own
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -115,6 +115,28 @@
         self.assertEqual(len(self.core._kept), core.KEPT_COUNT)
         self.assertEqual(self.core._kept_bytes, 2 * core.KEPT_COUNT)
 
+    def test_a_turn_down_is_kept_for_nobody_and_a_job_that_may_have_run_never_runs_again(self) -> None:
+        for outcome, again in ((api.Outcome.REJECTED, 1), (api.Outcome.RESET, 0)):
+            with self.subTest(outcome=outcome):
+                name, before = f"p-{outcome.value}", len(self.link.sent)
+                _, client = self.submit("post", name)
+                self.pass_time(100)
+                sent = self.link.sent[before]
+                self.core.written(sent)
+                self.list()  # no worker is left to send it to
+                self.core.ended(sent, outcome)
+                self.core.decide()
+                self.pass_time(5000)
+                verdict = Verdict.TURNED_DOWN if again else Verdict.FAILED
+                self.assertEqual([a.verdict for a in client.got], [verdict])
+                self.list(entry("w1"), entry("w2"))
+                self.pass_time(20_000)  # past the rest of the worker that failed
+                self.submit("post", name)
+                self.pass_time(100)
+                self.assertEqual(len(self.link.sent), before + 1 + again)
+                self.core.ended(self.link.sent[-1], api.Outcome.DONE)
+                self.core.decide()
+
     def test_one_who_joins_is_answered_by_its_own_deadline(self) -> None:
         _, first = self.submit("post", "a", 5000)
         self.pass_time(100)
