Answer call-backs whose state is no text with 400, and close a connection whose handler failed

Also: a job that was placed on a Gearman worker which withdraws before it grabs is shown to run elsewhere, once.

--- a/eiderpin/net/loop.py
+++ b/eiderpin/net/loop.py
@@ -245,16 +245,20 @@
         wait = min(self.deadlines.next_at() - self.clock.now(), longest)
         for key, mask in self.selector.select(max(0.0, wait if wait < math.inf else longest) / 1000.0):
             if key.fileobj in self.selector.get_map():  # else: closed by an earlier one of this turn
-                guarded(lambda key=key, mask=mask: key.data(mask))  # type: ignore[misc]
+                guarded(lambda key=key, mask=mask: key.data(mask), key.data)  # type: ignore[misc]
         guarded(lambda: self.deadlines.run_due(self.clock.now()))
         guarded(after)
 
 
-def guarded(call: Callable[[], object]) -> None:
+def guarded(call: Callable[[], object], hook: object = None) -> None:
     """A fault of ours on one connection must not end the service of all: in a release build it is told and
-    counted, and each flow still has its deadline."""
+    counted, the connection is closed, and each flow still has its deadline."""
     try:
         call()
     except Exception as error:
         traceback.print_exc()
+        owner = getattr(hook, "__self__", None)
+        if isinstance(owner, Connection) and not owner.closed:
+            owner.close()
+            owner.on_end()
         must(False, f"no fault in a handler: {type(error).__name__}")
--- a/eiderpin/net/workers.py
+++ b/eiderpin/net/workers.py
@@ -249,9 +249,9 @@
             said: Any = orjson.loads(body)
         except orjson.JSONDecodeError:
             return 400
-        if not isinstance(said, dict) or not isinstance(said.get("id"), str):
+        if not isinstance(said, dict) or not all(isinstance(said.get(k), str) for k in ("id", "state")):
             return 400
-        state = said.get("state")
+        state = said["state"]
         self.core.counters.add(f"in.news.{state}" if state in STATES else "in.news.other")
         flow = self.core.flow_of(said["id"])
         if flow is None:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -91,6 +91,17 @@
             statuses.append(worker.tell("unknown", "running", share=0.5))
             self.assertEqual(statuses, [204] * 4)
 
+    def test_call_backs_that_are_none(self) -> None:
+        cases = [
+            (b"", 400), (b"[1,2", 400), (b"[]", 400), (b"{}", 400), (b'{"id":1,"state":"done"}', 400),
+            (b'{"id":"a","state":[]}', 400), (b'{"id":"a","state":"odd"}', 204),
+            (b'{"id":"a","from":{},"state":"running","share":"x"}', 204),
+        ]  # fmt: skip
+        with running([HttpWorker("h1")]) as (program, _):
+            for body, status in cases:
+                with self.subTest(body=body):
+                    self.assertEqual(http_call(program.edge, "POST", "/_jobs/news", body)[0], status)
+
     def test_outcomes_and_what_they_lead_to(self) -> None:
         """For each thing that a worker may do: whether a job of each class is sent again, and the answer."""
 
--- a/tests/test_mixed.py
+++ b/tests/test_mixed.py
@@ -106,6 +106,24 @@
             client.close()
             worker.close()
 
+    def test_what_was_placed_on_a_worker_that_withdraws_runs_elsewhere(self) -> None:
+        """It was woken for the job and has not grabbed it yet when it withdraws."""
+        with running([], fronts=("gearman",)) as (program, _):
+            at = program.at["gearman"]
+            worker, client = GearmanPeer(at), GearmanPeer(at)
+            worker.put(Kind.CAN_DO, b"result-post")
+            worker.put(Kind.PRE_SLEEP)
+            client.put(Kind.SUBMIT_JOB, b"result-post", b"moved", b"x")
+            worker.until(Kind.NOOP)
+            worker.put(Kind.CANT_DO, b"result-post")
+            self.assertIs(worker.ask(Kind.GRAB_JOB).kind, Kind.NO_JOB)
+            other = GearmanWorker(at, ["result-post"])
+            self.assertEqual(client.until(Kind.WORK_COMPLETE, Kind.WORK_FAIL).kind, Kind.WORK_COMPLETE)
+            self.assertIs(worker.ask(Kind.GRAB_JOB).kind, Kind.NO_JOB)
+            self.assertEqual(other.ran, {b"moved": 1})
+            for peer in (worker, client, other):
+                peer.close()
+
     def test_a_resubmission_joins_or_gets_the_kept_result(self) -> None:
         go = threading.Event()
 
