--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -256,6 +256,14 @@
         asked: list[api.Event] = [api.Request(i, "look", 9000.0, hint=100.0) for i in range(20)]
         self.assertGreaterEqual(len(self.sends(module, 1000.0, asked)), 6)
 
+    def test_held_jobs_of_a_higher_priority_leave_first(self) -> None:
+        module = self.module(tells_start=False)
+        asked: list[api.Event] = [
+            api.Request(i, "look", 9000.0, hint=100.0, priority=(i == 9) - (i < 3)) for i in range(10)
+        ]
+        sent = [s.request for s in self.sends(module, 1000.0, asked)]
+        self.assertEqual((sent[0], set(sent) & {0, 1, 2}), (9, set()))
+
     def test_what_cannot_be_in_time_is_turned_down_at_once_with_advice(self) -> None:
         module = self.module()
         module.s.may_advise_wait, module.s.max_wait_advice = True, 2000.0
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -203,6 +203,27 @@
             self.assertLess(worker.connections, 5)
 
 
+    def test_a_broken_kept_alive_connection_is_a_reset_and_idle_ones_are_retired(self) -> None:
+        def cut_second(worker: HttpWorker, rid: str, handler: Any) -> None:
+            worker.ran[rid] += 1
+            if rid == "k2":
+                handler.connection.shutdown(socket.SHUT_RDWR)
+                return
+            handler.say(202)
+            worker.tell(rid, "done", result="ok")
+
+        settings = {**SETTINGS, "limits": {**SETTINGS["limits"], "conn_idle": 2000.0}}
+        worker = HttpWorker("h1", cut_second)
+        with running([worker], settings=settings) as (program, _):
+            asked = [http_call(program.edge, "POST", "/result-post", Req_Id=f"k{i}")[0] for i in (1, 2)]
+            self.assertEqual((asked, worker.ran["k2"], worker.connections), ([200, 500], 1, 1))
+            time.sleep(2.2)  # the worker rests for up to a second after its failure
+            self.assertEqual(http_call(program.edge, "POST", "/result-post", Req_Id="k3")[0], 200)
+            time.sleep(1.3)  # over half of conn_idle
+            self.assertEqual(http_call(program.edge, "POST", "/result-post", Req_Id="k4")[0], 200)
+            self.assertEqual((worker.ran["k2"], worker.connections), (1, 3))
+
+
 class Draining(unittest.TestCase):
     def test_nothing_goes_to_a_draining_worker(self) -> None:
         workers = [HttpWorker("h1"), HttpWorker("h2")]
