Tell bad clients so in time, and refuse ids, framing and memory that are not theirs

A test found more: loop.py once() looked a closed socket up in the selector's map, which raises ValueError outside of any guard and ended the program, whenever one handler closed another connection ready in its turn.

Now: one deadline of 2.4 s from the connection or a request's first byte; 409 for the id of an open or finished HTTP request (Gearman's may still be asked for again); 4xx closes; refused input is read on for 2.5 s or 128 MB; descriptors, and an eighth of the memory, are shared out by configuration; room is made from the refused and the silent before any kept-alive client.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -23,6 +23,10 @@
 KEPT_BYTES = 16 * 1024 * 1024
 
 
+class IdTaken(Exception):
+    """The id is another request's."""
+
+
 class Dispatcher:
     """Owns all flows and service entries; hands each batch of events to the decisions."""
 
@@ -40,7 +44,8 @@
         self.listed = False  # some list has come
         self._by_unique: dict[tuple[str, str], Flow] = {}
         self._by_wire: dict[str, Flow] = {}
-        self._kept: OrderedDict[tuple[str, str], tuple[float, Answer]] = OrderedDict()
+        self.keeps_results = True  # False where no front's clients ask again: then ids are kept, no results
+        self._kept: OrderedDict[tuple[str, str], tuple[float, Answer, bool]] = OrderedDict()
         self._kept_bytes = 0
         self._wire_number = 0
         self._events: list[api.Event] = []
@@ -49,20 +54,30 @@
     # -- from the fronts
 
     def submit(self, flow: Flow, waiter: EdgeSide | None) -> Flow:
-        """Take a job in. One that is under way or whose outcome is kept is joined, never run again."""
+        """Take a job in. One that is under way or whose outcome is kept is joined, never run again.
+
+        Raises `IdTaken` where both jobs bear ids that are given once. Joining would hand a client the answer
+        to another's request; running it would let a worker meet one id twice.
+        """
         now = self.clock.now()
         name = (flow.cls, flow.unique)
         self.counters.add("in.flows")
         if flow.unique:
             open_flow = self._by_unique.get(name)
+            kept = self._kept.get(name)
+            if kept is not None and kept[0] <= now:
+                kept = None
+            taken = open_flow.once if open_flow is not None else kept is not None and kept[2]
+            elsewhere = open_flow is None and flow.unique in self._by_wire
+            if flow.once and (taken or elsewhere):
+                raise IdTaken
             if open_flow is not None:
                 self.counters.add("in.joined")
                 if waiter is not None:
                     self._join(open_flow, flow, waiter)
                 open_flow.background = open_flow.background or flow.background
                 return open_flow
-            kept = self._kept.get(name)
-            if kept is not None and kept[0] > now:
+            if kept is not None:
                 self.counters.add("in.kept")
                 flow.ended = True
                 if waiter is not None:
@@ -227,7 +242,7 @@
         if not flow.ended:
             self._events.append(api.RequestGone(flow.id))
             self._finish(flow, Answer(Verdict.SERVED, result))
-        elif flow.unique and self._kept.get((flow.cls, flow.unique), (0.0, None))[1] == FAILED:
+        elif flow.unique and self._kept.get((flow.cls, flow.unique), (0.0, None, False))[1] == FAILED:
             self._keep(flow, Answer(Verdict.SERVED, result))  # too late for an answer, not for a resubmission
 
     # -- the decisions
@@ -332,16 +347,16 @@
         """Keep what a resubmission must be told: a result, or that a job which may not run twice may have."""
         single = self.classes[flow.cls].repeat is not api.Repeat.FREE
         if answer.verdict is Verdict.SERVED or (single and flow.may_have_run()):
-            if answer.verdict is not Verdict.SERVED:
+            if answer.verdict is not Verdict.SERVED or not self.keeps_results:
                 answer = FAILED
             name = (flow.cls, flow.unique)
             old = self._kept.pop(name, None)
             self._kept_bytes += len(answer.result) - (len(old[1].result) if old else 0)
             now = self.clock.now()
-            self._kept[name] = (now + KEPT_FOR, answer)
+            self._kept[name] = (now + KEPT_FOR, answer, flow.once)
             while self._kept:
                 first = next(iter(self._kept))
-                until, oldest = self._kept[first]
+                until, oldest, _ = self._kept[first]
                 if until > now and len(self._kept) <= KEPT_COUNT and self._kept_bytes <= KEPT_BYTES:
                     break
                 del self._kept[first]
--- a/eiderpin/core/flows.py
+++ b/eiderpin/core/flows.py
@@ -109,6 +109,7 @@
     client_retry: bool = False
     priority: int = 0
     background: bool = False  # goes on though nobody waits
+    once: bool = False  # its front gives each request an id of its own: another `once` with it is refused
     id: int = -1
     backstop: Deadline | None = None
     wire_id: str = ""  # what workers know it by
--- a/eiderpin/net/edge.py
+++ b/eiderpin/net/edge.py
@@ -2,30 +2,38 @@
 
 from __future__ import annotations
 
-import math
+import re
+import socket
 from collections import deque
 from collections.abc import Callable
 
-from eiderpin.core.dispatcher import Dispatcher
+from eiderpin.core.deadlines import Deadline
+from eiderpin.core.dispatcher import Dispatcher, IdTaken
 from eiderpin.core.flows import Answer, Flow, SlotTable, Verdict
 from eiderpin.net import http
 from eiderpin.net.loop import Connection, Listener, Loop
 
 SWEEP = 5000.0  # ms between looks for edge connections that have stood too long
 IDLE_LIMIT = 120_000.0  # ms
-HALF_LIMIT = 15_000.0  # ms in which a request must have come whole
-EXTRA = 48  # connections past the limit, for call-backs; jobs on them are turned down
+UNREAD_LIMIT = 15_000.0  # ms in which a client must take something of its answer
+WHOLE_LIMIT = 2400.0  # ms, from the connection or a request's first byte, in which it must have come whole
+EXTRA = 48  # connections past those that may wait for jobs, for call-backs and for those who say nothing
 NO_FLOW = Flow("", "", b"", b"", 0.0)
-FRESH = 100.0  # ms for which a connection is not closed to make room: its request is on its way
-MOST_WAITING = 16  # requests sent ahead on one edge connection
+FRESH = 150.0  # ms for which a connection is not closed to make room: its request is on its way
+MOST_WAITING = 8  # requests sent ahead on one edge connection
 MOST_DEADLINE = 600_000.0  # ms
+# An id goes on to workers in a header and in the target of a cancel.
+REQ_ID = re.compile(r"[A-Za-z0-9._~:@+=-]{1,128}")
+WHOLE = re.compile(r"[0-9]{1,12}")
+DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 
 
 class EdgeConnection:
     """The client's side of one connection; also workers call back over such a one."""
 
     __slots__ = (
-        "front", "conn", "reader", "waiting", "flow", "last", "number", "keep", "busy", "over", "served",
+        "front", "conn", "reader", "waiting", "flow", "last", "number", "keep", "busy", "served", "limit",
+        "held",
     )  # fmt: skip
 
     def __init__(self, front: Edge, conn: Connection) -> None:
@@ -33,38 +41,71 @@
         self.conn = conn
         self.number = -1
         self.served = False  # it has had an answer: now and then it stands between requests
-        self.over = False  # beyond what may be held: for call-backs only
         self.reader = http.RequestReader()
         self.waiting: deque[http.Message] = deque()
         self.flow: Flow | None = None
         self.busy = False  # a request is being served
         self.keep = True
         self.last = front.loop.clock.now()
-        conn.on_data, conn.on_end = self.data, self.end
+        self.held = 0  # bytes of requests that wait here
+        # One deadline, from the connection or a request's first byte: no trickle puts it off.
+        self.limit: Deadline | None = None
+        self.set_limit()
+        conn.on_data, conn.on_end, conn.on_closed = self.data, self.end, self.closed
 
     @property
     def idle(self) -> bool:
         return not self.busy and not self.waiting and self.reader.idle and not self.conn.unsent
 
+    def set_limit(self) -> None:
+        deadlines = self.front.loop.deadlines
+        deadlines.drop(self.limit)
+        self.limit = deadlines.set(self.front.loop.clock.now() + WHOLE_LIMIT, self.too_slow)
+
+    def drop_limit(self) -> None:
+        self.front.loop.deadlines.drop(self.limit)
+        self.limit = None
+
+    def too_slow(self) -> None:
+        """The request has not come whole in time. To who said nothing at all nothing is said."""
+        if self.busy:  # something was sent ahead of an answer, and never ended
+            self.keep = False
+        elif self.reader.idle:
+            self.front.counters.add("in.silent")
+            self.close()
+        else:
+            self.bad(408, "the request did not come whole")
+
+    def bad(self, status: int, text: str) -> None:
+        """What came cannot be used, and nothing after it is."""
+        self.front.counters.add(f"in.bad.{status}")
+        self.leave()
+        self.waiting.clear()
+        self.conn.write(http.response(status, text.encode() + b"\n", close=True))
+        self.close(linger=True)
+
     def data(self, data: bytes) -> None:
         self.last = self.front.loop.clock.now()
         try:
-            self.waiting.extend(self.reader.feed(data))
+            came = self.reader.feed(data)
         except http.BadMessage as error:
-            self.front.counters.add(f"in.bad.{error.status}")
-            self.leave()
-            self.waiting.clear()
-            text = str(error).encode() + b"\n"
-            self.conn.write(http.response(error.status, text, close=True))
-            self.close(linger=True)
+            self.bad(error.status, str(error))
+            return
+        self.waiting.extend(came)
+        if self.reader.idle:
+            self.drop_limit()
+        elif came or self.limit is None:
+            self.set_limit()
+        if not self.front.may_hold(self):
+            self.front.counters.add("in.over_memory")
+            self.turn_down()
             return
         if self.reader.expects_continue:
             self.reader.expects_continue = False
             if not self.waiting and not self.busy:
                 self.conn.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if len(self.waiting) > MOST_WAITING:
-            self.leave()
-            self.close()
+            self.bad(400, "too much is sent ahead")
             return
         self.next()
 
@@ -77,13 +118,24 @@
     def reply(self, status: int, body: bytes = b"", headers: tuple[str, ...] = ()) -> None:
         self.busy, self.served, self.flow = False, True, None
         self.last = self.front.loop.clock.now()
-        keep = self.keep and not self.front.draining
+        # Who asks for what there is not is left no descriptor to stay on.
+        wrong = 400 <= status < 500
+        keep = self.keep and not self.front.draining and not wrong
         self.conn.write(http.response(status, body, headers, close=not keep))
         if not keep:
-            self.close()
-        elif self.waiting:
+            self.close(linger=wrong or bool(self.waiting))
+            return
+        self.front.may_hold(self)
+        if self.waiting:
             self.next()
 
+    def turn_down(self) -> None:
+        """There is no room: what has been sent of a job is refused before anything is sent on for it."""
+        self.leave()
+        self.waiting.clear()
+        self.keep, self.busy = False, True
+        self.answer(NO_FLOW, Answer(Verdict.TURNED_DOWN, wait=self.front.core.settings.max_wait_advice))
+
     # what a flow calls
 
     def answer(self, flow: Flow, answer: Answer) -> None:
@@ -111,12 +163,29 @@
     def end(self) -> None:
         """The client's end of stream: it has gone, and with it its flow."""
         self.leave()
-        self.front.forget(self)
 
     def close(self, linger: bool = False) -> None:
+        self.drop_limit()
         self.conn.close_when_sent(linger)
+
+    def closed(self) -> None:
+        """Its descriptor is free again."""
+        self.drop_limit()
+        self.waiting.clear()
         self.front.forget(self)
 
+    def spare(self, now: float) -> int | None:
+        """How soon it may be closed to make room, the lowest first; None where it may not."""
+        if self.busy or self.waiting or now - self.last < FRESH:
+            return None
+        if self.conn.closing:
+            return 0
+        if self.conn.unsent or _has_input(self.conn.sock):
+            return None
+        if self.served:
+            return 2 if self.reader.idle else None
+        return 1
+
 
 class Edge:
     """The listener of clients and call-backs."""
@@ -129,10 +198,12 @@
         news: Callable[[bytes], int],
         ready: Callable[[], str],
         most: int,
+        memory: int,
     ) -> None:
         self.loop, self.core, self.counters = loop, core, core.counters
         self.news, self.ready = news, ready
-        self.most = most
+        self.most = most  # jobs that may be waited for
+        self.memory, self.held = memory, 0  # bytes of requests that may be held, and are
         self.draining = False
         self.connections: SlotTable[EdgeConnection] = SlotTable()
         self.listener = Listener(loop, address, self.taken, self.make_room)
@@ -140,33 +211,54 @@
 
     def taken(self, conn: Connection) -> None:
         self.counters.add("in.edge_connections")
-        if len(self.connections) >= self.most:
-            self.make_room()
         edge = EdgeConnection(self, conn)
-        edge.over = len(self.connections) >= self.most
+        edge.number = self.connections.add(edge)
+        if len(self.connections) >= self.most + EXTRA // 2:
+            self.make_room()
         if len(self.connections) >= self.most + EXTRA:
             # More would take descriptors that the workers' side needs; these wait in the backlog.
-            self.listener.rest(20.0)
-        edge.number = self.connections.add(edge)
+            self.listener.rest()
 
-    def make_room(self) -> None:
-        """Close the edge connections that have been idle longest; a client opens another when it needs it."""
-        old = self.loop.clock.now() - FRESH
-        idle = sorted((e for e in self.connections.all() if e.idle and e.last < old), key=lambda e: e.last)
-        for edge in idle[: max(1, len(idle) // 4)]:
-            edge.close()
+    def make_room(self) -> bool:
+        """Close some of those who can best be spared: who was refused and stays, who says nothing, and only
+        where there are no others a client's kept-alive connection; it opens another when it needs one.
+        Returns whether there is room now."""
+        now = self.loop.clock.now()
+        ranks = [(rank, e.last, e.number) for e in self.connections.all()
+                 if (rank := e.spare(now)) is not None]  # fmt: skip
+        ranks.sort()
+        few = [number for rank, _, number in ranks if rank < 2][: EXTRA // 2]
+        others = any(e.conn.closing or not (e.served or e.busy) for e in self.connections.all())
+        if not others and len(self.connections) >= self.most + EXTRA:
+            few = [number for _, _, number in ranks[:1]]
+        for number in few:
+            edge = self.connections.get(number)
+            if edge is not None:
+                self.counters.add("in.made_room")
+                edge.conn.close()
+        return len(self.connections) < self.most + EXTRA
 
     def forget(self, edge: EdgeConnection) -> None:
         self.connections.remove(edge.number)
+        self.held -= edge.held
+        edge.held = 0
+
+    def may_hold(self, edge: EdgeConnection) -> bool:
+        """Count what a connection holds of requests; whether all may hold as much together."""
+        body = len(edge.flow.body) if edge.flow is not None else 0
+        held = edge.reader.held + body + sum(len(m.body) for m in edge.waiting)
+        grown = held > edge.held
+        self.held += held - edge.held
+        edge.held = held
+        return not grown or self.held <= self.memory
 
     def sweep(self) -> None:
         now = self.loop.clock.now()
         for edge in self.connections.all():
-            if edge.idle and now - edge.last > IDLE_LIMIT:
-                edge.close()
-            elif not edge.busy and not edge.idle and now - edge.last > HALF_LIMIT:
-                edge.keep = False
-                edge.reply(408, b"the request did not come whole\n")
+            unread = edge.conn.unsent and not edge.conn.closing and now - edge.last > UNREAD_LIMIT
+            if unread or (edge.idle and now - edge.last > IDLE_LIMIT):
+                edge.conn.close()
+                edge.end()
         self.loop.deadlines.set(now + SWEEP, self.sweep)
 
     def drain(self) -> None:
@@ -178,7 +270,9 @@
 
     @property
     def quiet(self) -> bool:
-        return not any(e.busy or e.waiting or e.conn.unsent for e in self.connections.all())
+        return not any(
+            (e.busy or e.waiting or e.conn.unsent) and not e.conn.closed for e in self.connections.all()
+        )
 
     # -- requests
 
@@ -206,33 +300,41 @@
             edge.reply(404, b"no such path\n")
 
     def take(self, edge: EdgeConnection, cls: str, message: http.Message) -> None:
-        if edge.over:
-            # A job that was written must be answered, so the connection is not just closed.
-            self.counters.add("in.over_connections")
-            edge.keep = False
-            edge.answer(NO_FLOW, Answer(Verdict.TURNED_DOWN, wait=self.core.settings.max_wait_advice))
-            return
         try:
             flow = make_flow(cls, message, self.loop.clock.now(), self.core.classes[cls].deadline)
+            if sum(e.flow is not None for e in self.connections.all()) >= self.most:
+                self.counters.add("in.over_connections")
+                edge.turn_down()
+                return
+            joined = self.core.submit(flow, edge)
         except ValueError as error:
+            self.counters.add("in.bad.400")
             edge.reply(400, f"{error}\n".encode())
             return
-        joined = self.core.submit(flow, edge)
+        except IdTaken:
+            self.counters.add("in.bad.409")
+            edge.reply(409, b"this Req-Id is another request's\n")
+            return
         if edge.busy and not joined.ended:
             edge.flow = joined
+            self.may_hold(edge)
+
+
+def _has_input(sock: socket.socket) -> bool:
+    """Whether something has come that has not been read yet."""
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
 
 
-def _number(headers: dict[str, str], name: str) -> float | None:
+def _number(headers: dict[str, str], name: str, form: re.Pattern[str]) -> float | None:
     text = headers.get(name)
     if text is None:
         return None
-    try:
-        value = float(text)
-    except ValueError:
-        value = math.nan
-    if not 0 <= value < 1e12:
+    if not form.fullmatch(text):
         raise ValueError(f"{name} is no number")
-    return value
+    return float(text)
 
 
 def extras(text: str) -> dict[str, float]:
@@ -253,10 +355,10 @@
     """A flow from a client's request. Raises `ValueError` with what is wrong with it."""
     h = message.headers
     unique = h.get("req-id", "")
-    if not unique or len(unique) > 256:
-        raise ValueError("a Req-Id is needed")
-    wait = _number(h, "req-deadline-ms")
-    hint = _number(h, "req-cost")
+    if not REQ_ID.fullmatch(unique):
+        raise ValueError("a Req-Id is needed, of up to 128 letters, digits and ._~:@+=-")
+    wait = _number(h, "req-deadline-ms", WHOLE)
+    hint = _number(h, "req-cost", DECIMAL)
     more = extras(h.get("req-extra", ""))
     return Flow(
         cls,
@@ -270,4 +372,5 @@
         key=h.get("req-key"),
         hint=hint / 1000.0 if hint else None,
         client_retry=h.get("req-retry") == "1",
+        once=True,
     )
--- a/eiderpin/net/gearman_front.py
+++ b/eiderpin/net/gearman_front.py
@@ -344,7 +344,7 @@
         self.core.counters.add("in.gearman_connections")
         if len(self.connections) >= self.most:
             conn.close()
-            self.listener.rest(20.0)
+            self.listener.rest()
             return
         connection = GearmanConnection(self, conn)
         connection.number = self.connections.add(connection)
--- a/eiderpin/net/http.py
+++ b/eiderpin/net/http.py
@@ -2,18 +2,25 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 
 import httptools
 
 MOST_BODY = 64 * 1024
 MOST_HEAD = 32 * 1024
+MOST_FIELDS = 100
+MOST_TARGET = 8 * 1024
+MOST_ON_THE_WIRE = 8 * MOST_BODY  # of one message: chunks may be tiny, and their extensions long
+TARGET = re.compile(rb"[!-\"$-~]+")  # what any worker can read: visible ASCII and no fragment
+# Headers that we act on: a second one would leave open which of them counts.
+ONCE = ("host", "content-length", "transfer-encoding", "expect")
 
 REASONS = {
     100: "Continue", 200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
-    405: "Method Not Allowed", 408: "Request Timeout", 413: "Content Too Large",
-    431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway",
-    503: "Service Unavailable",
+    405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
+    414: "URI Too Long", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
+    502: "Bad Gateway", 503: "Service Unavailable",
 }  # fmt: skip
 
 
@@ -49,23 +56,35 @@
         self.expects_continue = False
         self._message = Message()
         self._body = bytearray()
-        self._head = 0
+        self._head = 0  # bytes of names and values, and of chunks that ended within the head
+        self._fields = 0
+        self._wire = 0  # bytes of the message that have come
         self._in_head = True
         self._begun = False  # some of a next message has come
+        self._idle_bytes = 0  # bytes between messages: line ends, which the parser passes over
 
     # httptools calls these
 
     def on_message_begin(self) -> None:
         self._message = Message()
         self._body = bytearray()
-        self._head, self._in_head, self._begun = 0, True, True
+        self._head = self._fields = self._wire = self._idle_bytes = 0
+        self._in_head = self._begun = True
 
     def on_url(self, url: bytes) -> None:
         self._message.target += url
+        if len(self._message.target) > MOST_TARGET:
+            raise BadMessage(414, "the target is over 8 KiB")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        key, text = name.decode("latin-1").lower(), value.decode("latin-1")
-        if key in self._message.headers and key in ("host", "content-length", "req-id"):
+        if not self._in_head:
+            return  # a trailer, which must not pass for a header
+        self._head += len(name) + len(value) + 4
+        self._fields += 1
+        if self._head > MOST_HEAD or self._fields > MOST_FIELDS:
+            raise BadMessage(431, "the head is over 32 KiB or 100 fields")
+        key, text = name.decode("latin-1").lower(), value.decode("latin-1").strip()
+        if key in self._message.headers and (key in ONCE or key.startswith("req-")):
             raise BadMessage(400, f"{key} is given twice")
         self._message.headers[key] = text
 
@@ -88,6 +107,7 @@
         self._finish(self._message)
         self.complete.append(self._message)
         self._begun = False
+        self._body = bytearray()
 
     def _parser_keeps_alive(self) -> bool:
         raise NotImplementedError
@@ -96,6 +116,7 @@
         raise NotImplementedError
 
     def _feed(self, parser: httptools.HttpRequestParser | httptools.HttpResponseParser, data: bytes) -> None:
+        begun = self._begun
         try:
             parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -105,10 +126,15 @@
             raise cause if isinstance(cause, BadMessage) else BadMessage(400, "not HTTP") from None
         except httptools.HttpParserError:
             raise BadMessage(400, "not HTTP") from None
-        if self._begun and self._in_head:
-            self._head += len(data)
-        if self._head > MOST_HEAD:
+        if not self._begun:
+            self._idle_bytes = 0 if self.complete else self._idle_bytes + len(data)
+            return
+        if begun or not self.complete:  # else some of these bytes belong to the message before
+            self._wire += len(data)
+        if self._in_head and self._wire > MOST_HEAD:
             raise BadMessage(431, "the head is over 32 KiB")
+        if self._wire > MOST_ON_THE_WIRE:
+            raise BadMessage(413, "the message is over 512 KiB with its framing")
 
 
 class RequestReader(_Reader):
@@ -119,7 +145,25 @@
     @property
     def idle(self) -> bool:
         """Nothing of a next request has come."""
-        return not self._begun
+        return not self._begun and not self._idle_bytes
+
+    @property
+    def held(self) -> int:
+        """Bytes of a body that has not come whole."""
+        return len(self._body)
+
+    def on_headers_complete(self) -> None:
+        super().on_headers_complete()
+        headers, version = self._message.headers, self._parser.get_http_version()
+        if version not in ("1.0", "1.1"):
+            raise BadMessage(400, "HTTP/1.1 is spoken here")
+        encoding = headers.get("transfer-encoding")
+        if encoding is not None and (encoding.lower() != "chunked" or version == "1.0"):
+            raise BadMessage(400, "the one transfer encoding is chunked, of HTTP/1.1")
+        if encoding is not None and "content-length" in headers:
+            raise BadMessage(400, "a length and an encoding are both given")
+        if not TARGET.fullmatch(self._message.target):
+            raise BadMessage(400, "the target holds what is not visible ASCII")
 
     def feed(self, data: bytes) -> list[Message]:
         """The requests that these bytes complete. Raises `BadMessage`, after which the reader is spent."""
--- a/eiderpin/net/loop.py
+++ b/eiderpin/net/loop.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import math
 import selectors
@@ -10,13 +11,17 @@
 from collections.abc import Callable
 
 from eiderpin.core.counters import Counters
-from eiderpin.core.deadlines import Clock, Deadlines
+from eiderpin.core.deadlines import Clock, Deadline, Deadlines
 from eiderpin.core.flows import SlotTable
 from eiderpin.core.invariants import must
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 CHUNK = 65536
-LINGER = 1000.0  # ms for which a refused peer's input is still read and dropped
+LINGER = 2500.0  # ms for which a refused peer's input is still read and dropped ...
+LINGER_BYTES = 128 << 20  # ... and how much of it
+LAST_WORDS = 5000.0  # ms in which a peer must have taken the last that we say
+REST = 20.0  # ms for which a listener that has no room lets connections wait in its backlog
+SCRATCH = bytearray(256 * 1024)  # where input that nobody wants is read into
 MOST_UNSENT = 1 << 20  # a peer that leaves more than this unread is cut off
 NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
 
@@ -26,7 +31,7 @@
 
     __slots__ = (
         "loop", "sock", "number", "connecting", "closed", "unsent", "closing", "lingers", "on_open",
-        "on_data", "on_end", "on_flushed", "taken", "mask",
+        "on_data", "on_end", "on_flushed", "on_closed", "taken", "mask", "dropped", "end_at",
     )  # fmt: skip
 
     def __init__(self, loop: Loop, sock: socket.socket, connecting: bool) -> None:
@@ -42,6 +47,9 @@
         self.on_data: Callable[[bytes], None] = _nothing_of
         self.on_end: Callable[[], None] = _nothing  # the peer has closed, or the stream broke
         self.on_flushed: Callable[[], None] = _nothing
+        self.on_closed: Callable[[], None] = _nothing  # the descriptor is free again, whoever closed
+        self.dropped = 0  # bytes read and dropped since we began to close
+        self.end_at: Deadline | None = None
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.number = loop.connections.add(self)
@@ -61,6 +69,9 @@
         if mask & WRITE and not self.closed:
             self._flush()
         if mask & READ and not self.closed:
+            if self.closing:
+                self._drop_input()
+                return
             try:
                 data = self.sock.recv(CHUNK)
             except (BlockingIOError, InterruptedError):
@@ -70,9 +81,20 @@
                 return
             if not data:
                 self._broke()
-            elif not self.closing:
+            else:
                 self.on_data(data)
 
+    def _drop_input(self) -> None:
+        try:
+            count = self.sock.recv_into(SCRATCH)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            count = 0
+        self.dropped += count
+        if not count or self.dropped > LINGER_BYTES:
+            self._broke()
+
     def write(self, data: bytes) -> None:
         if self.closed:
             return
@@ -110,7 +132,11 @@
             self.close()
             return
         self.on_end = _nothing
-        self.loop.deadlines.set(self.loop.clock.now() + LINGER, self.close)
+        self._end_within(LINGER)
+
+    def _end_within(self, ms: float) -> None:
+        self.loop.deadlines.drop(self.end_at)
+        self.end_at = self.loop.deadlines.set(self.loop.clock.now() + ms, self._broke)
 
     def _want(self) -> None:
         if self.closed:
@@ -133,6 +159,8 @@
             self._linger()
         elif not self.unsent:
             self.close()
+        else:
+            self._end_within(LAST_WORDS)
 
     def close(self) -> None:
         if self.closed:
@@ -141,6 +169,8 @@
         self.loop.connections.remove(self.number)
         self.loop.selector.unregister(self.sock)
         self.sock.close()
+        self.loop.deadlines.drop(self.end_at)
+        self.on_closed()
 
 
 def _nothing() -> None:
@@ -156,7 +186,7 @@
 
     def __init__(
         self, loop: Loop, address: tuple[str, int], taken: Callable[[Connection], None],
-        make_room: Callable[[], None] = _nothing,
+        make_room: Callable[[], bool] = lambda: True,
     ) -> None:  # fmt: skip
         self.loop = loop
         self.taken = taken
@@ -188,7 +218,7 @@
                     # loop would spin on it.
                     self.loop.counters.add("in.no_descriptor")
                     self.make_room()
-                    self.rest(20.0)
+                    self.rest()
                     return
                 continue  # the peer went away while it waited
             try:
@@ -198,14 +228,18 @@
                 continue
             self.taken(connection)
 
-    def rest(self, ms: float) -> None:
+    def rest(self, ms: float = REST) -> None:
         if not self.resting:
             self.resting = True
-            self.loop.selector.unregister(self.sock)
+            with contextlib.suppress(KeyError):  # it may be out already
+                self.loop.selector.unregister(self.sock)
             self.loop.deadlines.set(self.loop.clock.now() + ms, self._wake)
 
     def _wake(self) -> None:
         self.resting = False
+        if not self.make_room():
+            self.rest()
+            return
         if self.sock.fileno() >= 0:
             self.loop.selector.register(self.sock, READ, self.ready)
 
@@ -244,7 +278,10 @@
         """Wait for sockets or the next deadline, serve what is ready, then call `after`."""
         wait = min(self.deadlines.next_at() - self.clock.now(), longest)
         for key, mask in self.selector.select(max(0.0, wait if wait < math.inf else longest) / 1000.0):
-            if key.fileobj in self.selector.get_map():  # else: closed by an earlier one of this turn
+            # An earlier one of this turn may have closed it, and its number may even be another's by now. (To
+            # ask the map for a closed socket raises ValueError.)
+            current = self.selector.get_map().get(key.fd)
+            if current is not None and current.fileobj is key.fileobj:
                 guarded(lambda key=key, mask=mask: key.data(mask), key.data)  # type: ignore[misc]
         guarded(lambda: self.deadlines.run_due(self.clock.now()))
         guarded(after)
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -18,13 +18,15 @@
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.net import discovery
 from eiderpin.net.agent_check import AgentCheck
-from eiderpin.net.edge import Edge
+from eiderpin.net.edge import EXTRA, Edge
 from eiderpin.net.gearman_front import GearmanFront
 from eiderpin.net.loop import Loop
 from eiderpin.net.workers import HttpWorkers
 
 LINGER = 600.0  # ms after SIGTERM in which new connections may still come
-SPARE = 96  # descriptors kept for call-backs, the listeners, discovery and chance
+SPARE = 24  # descriptors kept for the listeners, discovery, agent-check and chance
+FEW_SOCKETS = 96  # fewer cannot be shared out
+HELD_SHARE = 0.125  # of the memory, for requests that wait or have not come whole
 
 
 FRONTS = "deploy/fronts.json"  # beside the program: which further fronts listen, and where
@@ -41,6 +43,7 @@
     discovery: tuple[str, int]
     seed: int
     sockets: int
+    memory_mb: float
     known: Any
     settings: api.Settings
     gearman: tuple[str, int] | None = None  # None: off
@@ -74,14 +77,18 @@
         seed = int(str(said.get("seed") or "0"), 16)
         limits = said.get("limits") or {}
         sockets = int(limits.get("sockets") or 1024)
+        memory_mb = float(limits.get("memory_mb") or 128)
         known = said.get("known")
         if known:
             discovery.read_list(known)
     except (ValueError, TypeError, AttributeError) as error:
         raise ConfigError(f"{error}".replace("\n", " ")) from None
-    if sockets < SPARE + 32:
+    if sockets < FEW_SOCKETS:
         raise ConfigError(f"limits.sockets: {sockets} are too few")
-    return Config(str(said.get("name") or "eiderpin"), listen, where, seed, sockets, known, settings)
+    if not memory_mb >= 16:
+        raise ConfigError(f"limits.memory_mb: {memory_mb} is too little")
+    name = str(said.get("name") or "eiderpin")
+    return Config(name, listen, where, seed, sockets, memory_mb, known, settings)
 
 
 def _address(text: Any) -> tuple[str, int]:
@@ -98,15 +105,20 @@
         self.clock, self.deadlines, self.counters = Clock(), Deadlines(), Counters()
         self.loop = Loop(self.clock, self.deadlines, self.counters)
         self.core = Dispatcher(config.settings, config.seed, self.clock, self.deadlines, self.counters)
-        # A worker has a few slots, so its side needs few descriptors, but must never be without: each front
-        # is held to its share.
-        room = (config.sockets - SPARE) // 3
-        fronts = 2 * room if config.gearman is None else room
-        self.workers = HttpWorkers(self.loop, self.core, "service.internal", room)
+        # A worker has a few slots, so its side needs few descriptors, but must never be without: a quarter is
+        # its own, and each front is held to its share of the rest.
+        room = config.sockets - SPARE - EXTRA
+        workers = max(room // 4, min(24, room // 2))
+        fronts = (room - workers) // (1 if config.gearman is None else 2)
+        memory = int(HELD_SHARE * config.memory_mb * (1 << 20))
+        self.core.keeps_results = config.gearman is not None
+        self.workers = HttpWorkers(self.loop, self.core, "service.internal", workers)
         self.gearman: GearmanFront | None = None
         self.agent_check: AgentCheck | None = None
         try:
-            self.edge = Edge(self.loop, self.core, config.listen, self.workers.news, self.readiness, fronts)
+            self.edge = Edge(
+                self.loop, self.core, config.listen, self.workers.news, self.readiness, fronts, memory
+            )
             if config.gearman is not None:
                 self.gearman = GearmanFront(self.loop, self.core, config.gearman, config.name, fronts)
             if config.agent_check is not None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import unittest
 
 from eiderpin import interface as api
@@ -13,6 +14,7 @@
 from eiderpin.core.schedulings import Scheduling, ServiceEntry
 from eiderpin.decide import SLOTS_GUESS
 from eiderpin.decide import Dispatcher as Module
+from eiderpin.net.loop import Connection, Loop
 
 
 class HandClock(Clock):
@@ -283,5 +285,30 @@
         self.assertEqual({len(p.items) for p in module.pools.values()}, {1})
 
 
+class OneTurn(unittest.TestCase):
+    def test_a_connection_may_be_closed_by_another_ones_handler(self) -> None:
+        """Both are ready in one turn; the second must be passed over, not looked up by its closed socket."""
+        loop = Loop(Clock(), Deadlines(), Counters())
+        pairs = [tcp_pair() for _ in "ab"]
+        ends = [Connection(loop, ours, False) for ours, _ in pairs]
+        got: list[bytes] = []
+        for end, other in ((ends[0], ends[1]), (ends[1], ends[0])):
+            end.on_data = lambda data, other=other: (got.append(data), other.close())  # type: ignore[misc]
+        for _, theirs in pairs:
+            theirs.sendall(b"x")
+        while not got:
+            loop.once(lambda: None, 1000.0)
+        self.assertEqual((got, sum(e.closed for e in ends)), ([b"x"], 1))
+        for end, (_, theirs) in zip(ends, pairs, strict=True):
+            end.close()
+            theirs.close()
+
+
+def tcp_pair() -> tuple[socket.socket, socket.socket]:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        theirs = socket.create_connection(server.getsockname())
+        return server.accept()[0], theirs
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import resource
@@ -224,6 +225,113 @@
             self.assertEqual((worker.ran["k2"], worker.connections), (1, 3))
 
 
+class BadClients(unittest.TestCase):
+    """Each is owed an error or a close within 3 s of connecting; usual clients must not feel it."""
+
+    def test_the_id_of_another_request_is_a_conflict(self) -> None:
+        go = threading.Event()
+
+        def wait(worker: HttpWorker, rid: str, handler: Any) -> None:
+            go.wait(20)
+            worker.serve(rid, handler)
+
+        worker = HttpWorker("h1", wait)
+        with running([worker]) as (program, _):
+            answers: list[tuple[int, bytes]] = []
+            first = threading.Thread(
+                target=lambda: answers.append(
+                    http_call(program.edge, "POST", "/result-post", b"", Req_Id="same")[:2]
+                )
+            )
+            first.start()
+            wait_for(lambda: worker.seen, "the job to be out")
+            again = [http_call(program.edge, "POST", f"/{cls}", Req_Id="same")[0]
+                     for cls in ("result-post", "time-lookup")]  # fmt: skip
+            go.set()
+            first.join()
+            again.append(http_call(program.edge, "POST", "/result-post", Req_Id="same")[0])
+            self.assertEqual((answers, again), ([(200, b"h1 ran same")], [409, 409, 409]))
+            self.assertEqual(worker.ran, {"same": 1})
+
+    def test_silence_and_half_a_request_end_in_time_and_kept_alive_connections_stay(self) -> None:
+        ask = b"POST /time-lookup HTTP/1.1\r\nReq-Id: %s\r\nContent-Length: 0\r\n\r\n"
+        cases = [(b"", b""), (b"\r\n", b""), (b"POST /time", b"HTTP/1.1 408 "),
+                 (ask[:-2] % b"h", b"HTTP/1.1 408 "),
+                 (ask.replace(b"0\r\n\r\n", b"9\r\n\r\n") % b"b", b"HTTP/1.1 408 ")]  # fmt: skip
+        with running([HttpWorker("h1")]) as (program, _):
+            host, port = program.edge.split(":")
+            with socket.create_connection((host, int(port)), timeout=20) as kept:
+                kept.sendall(ask % b"k1")
+                self.assertIn(b"200 OK", kept.recv(65536))
+                start = time.monotonic()
+                socks = [socket.create_connection((host, int(port)), timeout=20) for _ in cases]
+                for sock, (data, _) in zip(socks, cases, strict=True):
+                    sock.sendall(data)
+                for _ in range(15):  # a trickle puts nothing off
+                    time.sleep(0.1)
+                    for sock, (data, _) in zip(socks, cases, strict=True):
+                        sock.sendall(b"" if data.endswith(b"9\r\n\r\n") else b"\r\n"[: 2 * (data == b"\r\n")])
+                    socks[2].sendall(b"x")
+                for sock, (data, said) in zip(socks, cases, strict=True):
+                    with self.subTest(data=data), sock:
+                        self.assertEqual(sock.recv(13), said)
+                self.assertLess(time.monotonic() - start, 3.0)
+                kept.sendall(ask % b"k2")
+                self.assertIn(b"200 OK", kept.recv(65536))
+
+    def test_an_error_is_not_lost_to_a_reset(self) -> None:
+        """A client that reads only once all is sent hears of the 413 all the same."""
+        with running([HttpWorker("h1")]) as (program, _):
+            head = b"POST /time-lookup HTTP/1.1\r\nReq-Id: a\r\nContent-Length: 20000000\r\n\r\n"
+            self.assertEqual(raw(program.edge, head + bytes(20_000_000))[:13], b"HTTP/1.1 413 ")
+
+    def test_who_asks_for_what_there_is_not_and_stays_is_left_no_connection(self) -> None:
+        with running([HttpWorker("h1")]) as (program, _):
+            ask = b"POST /time-lookups HTTP/1.1\r\nReq-Id: a\r\nContent-Length: 0\r\n\r\n"
+            got = raw(program.edge, ask)  # until the other side ends it
+            self.assertTrue(got.startswith(b"HTTP/1.1 404 ") and b"Connection: close" in got)
+
+    def test_a_flood_of_silence_leaves_kept_alive_connections_alone(self) -> None:
+        ask = b"POST /time-lookup HTTP/1.1\r\nReq-Id: %s\r\nContent-Length: 0\r\n\r\n"
+        with running([HttpWorker("h1")], limits={"sockets": 256}) as (program, _):
+            host, port = program.edge.split(":")
+            with contextlib.ExitStack() as held:
+                def connect() -> socket.socket:
+                    return held.enter_context(socket.create_connection((host, int(port)), timeout=20))
+
+                usual = [connect() for _ in range(85)]
+                for i, sock in enumerate(usual):
+                    sock.sendall(ask % b"u%d" % i)
+                    self.assertIn(b"200 OK", sock.recv(65536))
+                for _ in range(400):
+                    connect()
+                new = connect()
+                new.sendall(ask % b"new")
+                self.assertIn(b"200 OK", new.recv(65536))
+                for i, sock in enumerate(usual):
+                    sock.sendall(ask % b"v%d" % i)
+                    self.assertIn(b"200 OK", sock.recv(65536))
+                self.assertGreater(program.counters()["in.made_room"], 100)
+
+    def test_bodies_past_the_memory_for_them_are_turned_down(self) -> None:
+        worker = HttpWorker("h1", never)
+        with running([worker], limits={"sockets": 1024, "memory_mb": 16}) as (program, _):
+            host, port = program.edge.split(":")
+            with contextlib.ExitStack() as held:
+                got = []
+                for i in range(36):  # 36 times 60,000 bytes are over 16 MB / 8
+                    sock = held.enter_context(socket.create_connection((host, int(port)), timeout=20))
+                    sock.sendall(b"POST /result-post HTTP/1.1\r\nReq-Id: m%d\r\n" % i)
+                    sock.sendall(b"Content-Length: 60000\r\n\r\n" + bytes(60000))
+                    got.append(sock)
+                wait_for(lambda: program.counters().get("in.over_memory", 0) >= 2, "the turn-downs")
+                self.assertEqual(got[-1].recv(13), b"HTTP/1.1 503 ")
+            wait_for(lambda: program.counters()["in.clients_gone"] == 34, "the others to go")
+            refused = program.counters()["in.over_memory"]
+            http_call(program.edge, "POST", "/result-post", bytes(60000), Req_Id="z", Req_Deadline_Ms="100")
+            self.assertEqual(program.counters()["in.over_memory"], refused)
+
+
 class Draining(unittest.TestCase):
     def test_nothing_goes_to_a_draining_worker(self) -> None:
         workers = [HttpWorker("h1"), HttpWorker("h2")]
@@ -326,12 +434,12 @@
 
     def test_past_the_limit_of_busy_connections_jobs_are_turned_down_and_call_backs_answered(self) -> None:
         worker = HttpWorker("h1", never)
-        with running([worker], limits={"sockets": 128}) as (program, _):
+        with running([worker], limits={"sockets": 104}) as (program, _):
             host, port = program.edge.split(":")
             held = [socket.create_connection((host, int(port)), timeout=20) for _ in range(30)]
             for i, sock in enumerate(held):
                 sock.sendall(b"POST /result-post HTTP/1.1\r\nReq-Id: b%d\r\nContent-Length: 0\r\n\r\n" % i)
-            wait_for(lambda: program.counters().get("in.flows") == 20, "the room to be taken")
+            wait_for(lambda: program.counters().get("in.flows") == 16, "the room to be taken")
             status, _, headers = http_call(program.edge, "POST", "/result-post", Req_Id="x")
             self.assertEqual(status, 503)
             self.assertTrue(0 < float(headers["retry-after"]) <= 2.0)
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,98 @@
+"""What the HTTP reader takes and what it does not, as a table; no sockets."""
+
+from __future__ import annotations
+
+import unittest
+
+from eiderpin.net import edge, http
+
+POST = b"POST /time-lookup HTTP/1.1\r\n"
+END = b"0\r\n\r\n"
+CHUNKED = POST + b"Transfer-Encoding: chunked\r\n"
+
+
+class Reading(unittest.TestCase):
+    def test_what_may_hide_a_request_or_cannot_be_read_is_bad(self) -> None:
+        cases = [
+            POST + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n" + END,
+            CHUNKED + b"Content-Length: 3\r\n\r\n" + END,
+            CHUNKED + b"Transfer-Encoding: chunked\r\n\r\n" + END,
+            POST + b"Transfer-Encoding: gzip, chunked\r\n\r\n" + END,
+            POST + b"Transfer-Encoding: xchunked\r\n\r\n" + END,
+            POST + b"Transfer-Encoding : chunked\r\n\r\n" + END,
+            POST.replace(b"1.1", b"1.0") + b"Transfer-Encoding: chunked\r\n\r\n" + END,
+            POST + b"Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+            POST + b"Content-Length: 3, 3\r\n\r\nabc",
+            POST + b"Content-Length: -3\r\n\r\nabc",
+            POST + b"Content-Length: +3\r\n\r\nabc",
+            POST + b"Content-Length: 0x3\r\n\r\nabc",
+            POST + b"Content-Length:\r\n\r\n",
+            CHUNKED + b"\r\n-3\r\nabc\r\n" + END,
+            CHUNKED + b"\r\nzz\r\nabc\r\n" + END,
+            POST + b"X: a\rb\r\n\r\n",
+            POST + b"X: a\0b\r\n\r\n",
+            POST + b"X: a\r\n b\r\n\r\n",
+            POST + b"X\0: a\r\n\r\n",
+            b"POST /time\0 HTTP/1.1\r\n\r\n",
+            b"POST /time\r/ HTTP/1.1\r\n\r\n",
+            b"POST /time\xff HTTP/1.1\r\n\r\n",
+            b"POST /time#a HTTP/1.1\r\n\r\n",
+            b"POST /time-lookup HTTP/2.0\r\n\r\n",
+            b"POST /time-lookup\r\n\r\n",
+            POST + b"Req-Id: a\r\nreq-id: a\r\n\r\n",
+            POST + b"Req-Deadline-Ms: 5\r\nReq-Deadline-Ms: 9\r\n\r\n",
+            POST + b"\r\nnonsense\r\n\r\n",  # the first is whole, and is not taken either
+        ]
+        for data in cases:
+            for size in (len(data), 7):
+                with self.subTest(data=data, size=size), self.assertRaises(http.BadMessage) as raised:
+                    reader = http.RequestReader()
+                    for at in range(0, len(data), size):
+                        reader.feed(data[at : at + size])
+                self.assertEqual(raised.exception.status, 400)
+
+    def test_nothing_is_read_without_end(self) -> None:
+        cases = [
+            (b"POST /" + b"x" * 9000, b"", 414),
+            (POST, b"X: y\r\n", 431),
+            (POST + b"X: ", b"y" * 1000, 431),
+            (CHUNKED + b"\r\n", b"1;" + b"e" * 1000 + b"\r\nx\r\n", 413),
+            (CHUNKED + b"\r\n0\r\n", b"T: " + b"e" * 1000 + b"\r\n", 413),
+        ]
+        for start, more, status in cases:
+            with self.subTest(start=start[:60], more=more[:9]), self.assertRaises(http.BadMessage) as raised:
+                reader = http.RequestReader()
+                reader.feed(start)
+                for _ in range(2000):
+                    reader.feed(more)
+            self.assertEqual(raised.exception.status, status)
+
+    def test_a_trailer_is_no_header(self) -> None:
+        (message,) = http.RequestReader().feed(CHUNKED + b"\r\n3\r\nabc\r\n0\r\nReq-Id: x\r\n\r\n")
+        self.assertEqual((message.body, "req-id" in message.headers), (b"abc", False))
+
+    def test_a_long_message_before_a_head_does_not_count_for_it(self) -> None:
+        reader = http.RequestReader()
+        (first,) = reader.feed(POST + b"Content-Length: 60000\r\n\r\n" + b"x" * 60000 + POST)
+        (second,) = reader.feed(b"\r\n")
+        self.assertEqual((len(first.body), second.target), (60000, b"/time-lookup"))
+
+
+class Headers(unittest.TestCase):
+    def test_what_no_flow_is_made_of(self) -> None:
+        good = {"req-id": "9b1f03aa5c7e2d41", "req-deadline-ms": "480", "req-cost": "1200.5"}
+        cases = [
+            {"req-id": ""}, {"req-id": "a/b"}, {"req-id": "a b"}, {"req-id": "a%2F"}, {"req-id": "\xe9"},
+            {"req-id": "x" * 129}, {"req-deadline-ms": ""}, {"req-deadline-ms": "soon"},
+            {"req-deadline-ms": "nan"}, {"req-deadline-ms": "inf"}, {"req-deadline-ms": "-5"},
+            {"req-deadline-ms": "1_000"}, {"req-deadline-ms": "1e3"}, {"req-deadline-ms": "\xb2"},
+            {"req-deadline-ms": "9" * 23}, {"req-cost": "nan"}, {"req-cost": "-1"}, {"req-cost": "lots"},
+        ]  # fmt: skip
+        self.assertEqual(edge.make_flow("c", http.Message(headers=good), 1000.0, 9.0).deadline, 1480.0)
+        for case in cases:
+            with self.subTest(case=case), self.assertRaises(ValueError):
+                edge.make_flow("c", http.Message(headers={**good, **case}), 1000.0, 9.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
