Read the configuration again on SIGHUP, and move the watch on discovery

Checked: service.py _take_signals() set handlers for SIGTERM, SIGINT and SIGUSR1 only, so SIGHUP ended the process. Signals that come before the loop runs would still do so: they are blocked until then.

Now SIGHUP reads the file; Discovery.move() opens the watch at the new address at once, without the old one's generation, and takes the whole list. A file that cannot be used leaves all as it is.

--- a/eiderpin/net/discovery.py
+++ b/eiderpin/net/discovery.py
@@ -75,6 +75,18 @@
             core.list_told(link, api.ListKind.STORED, entries)
         self.ask()
 
+    def move(self, where: tuple[str, int]) -> None:
+        """Watch at another address from now on. Its generations are its own, so the whole list is asked for;
+        what the old one told holds until then."""
+        if where == self.where:
+            return
+        self.where, self.generation = where, None
+        self.loop.deadlines.drop(self.limit)
+        if self.conn is not None:
+            self.conn.close()
+        self.conn = None
+        self.ask()
+
     def ask(self) -> None:
         target = b"/catalog/members"
         wait = 0.0
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -6,7 +6,7 @@
 import signal
 import socket
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from typing import Any
 
 import orjson
@@ -29,6 +29,7 @@
 HELD_SHARE = 0.125  # of the memory, for requests that wait or have not come whole
 
 
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
 FRONTS = "deploy/fronts.json"  # beside the program: which further fronts listen, and where
 
 
@@ -97,11 +98,15 @@
     return (host, 0) if port == "0" and host else discovery.address(text)
 
 
+# What a replaced configuration changes at once; `seed` and `known` are for a start only.
+AT_ONCE = ("discovery", "seed", "known", "gearman", "agent_check")
+
+
 class Service:
-    """One dispatcher on real sockets."""
+    """One dispatcher on real sockets. `path` names the file that SIGHUP has read again."""
 
-    def __init__(self, config: Config) -> None:
-        self.config = config
+    def __init__(self, config: Config, path: str | None = None) -> None:
+        self.config, self.path = config, path
         self.clock, self.deadlines, self.counters = Clock(), Deadlines(), Counters()
         self.loop = Loop(self.clock, self.deadlines, self.counters)
         self.core = Dispatcher(config.settings, config.seed, self.clock, self.deadlines, self.counters)
@@ -155,6 +160,25 @@
             self.draining_since = self.clock.now()
             self.edge.drain()
 
+    def reload(self) -> None:
+        """Read the configuration's file again. One that cannot be used changes nothing, and is told of in one
+        line; so is what takes a restart."""
+        try:
+            with open(self.path or "", "rb") as file:
+                new = read_config(file.read())
+        except (OSError, ConfigError) as error:
+            self.counters.add("in.reloads_bad")
+            print(f"eiderpin: not reloaded: {error}".replace("\n", " "), file=sys.stderr, flush=True)
+            return
+        self.counters.add("in.reloads")
+        self.config.discovery = new.discovery
+        self.discovery.move(new.discovery)
+        names = [f.name for f in fields(Config) if f.name not in AT_ONCE]
+        stay = [n for n in names if getattr(new, n) != getattr(self.config, n)]
+        if stay:
+            text = f"eiderpin: reloaded; a restart is needed for: {', '.join(stay)}"
+            print(text, file=sys.stderr, flush=True)
+
     def over(self) -> bool:
         if self.draining_since is None or self.clock.now() < self.draining_since + LINGER:
             return False
@@ -172,7 +196,8 @@
         self.loop.once(self.core.decide, longest)
 
     def run(self) -> None:
-        """Serve until stopped; SIGTERM and SIGINT stop it, SIGUSR1 prints the counters."""
+        """Serve until stopped; SIGTERM and SIGINT stop it, SIGHUP has the configuration read again, SIGUSR1
+        prints the counters."""
         self._take_signals()
         print(f"eiderpin: {self.config.name} listens {self.addresses()}", file=sys.stderr, flush=True)
         while not self.over():
@@ -192,14 +217,18 @@
                     self.print_counters()
                 elif number in (signal.SIGTERM, signal.SIGINT):
                     self.stop()
+                elif number == signal.SIGHUP:
+                    self.reload()
 
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+        for number in SIGNALS:
             signal.signal(number, lambda *_: None)
         self.loop.selector.register(ours, 1, woken)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
 
 
 def main() -> int:
     """What `python -m eiderpin` does."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # one that comes before the loop waits for it
     path = os.environ.get("GW_CONFIG", "")
     try:
         with open(path, "rb") as file:
@@ -208,7 +237,7 @@
         if os.path.exists(fronts):
             with open(fronts, "rb") as file:
                 read_fronts(config, file.read())
-        service = Service(config)
+        service = Service(config, path)
     except (OSError, ConfigError) as error:
         print(f"eiderpin: {error}".replace("\n", " "), file=sys.stderr)
         return 2
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -271,7 +271,8 @@
             "name": "t1", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "1f",
             "limits": {"sockets": 1024}, "settings": SETTINGS, **config,
         }  # fmt: skip
-        (path / "config.json").write_text(json.dumps(said))
+        self.said, self.config = said, path / "config.json"
+        self.config.write_text(json.dumps(said))
         (path / "fronts.json").write_text(json.dumps({f: {"listen": "127.0.0.1:0"} for f in fronts}))
         env = {**os.environ, "GW_CONFIG": str(path / "config.json"),
                "EIDERPIN_FRONTS": str(path / "fronts.json")}  # fmt: skip
@@ -294,6 +295,12 @@
     def ready(self) -> None:
         wait_for(lambda: http_call(self.edge, "GET", "/_health")[0] == 200, "the program to be ready")
 
+    def hang_up(self, text: str | None = None, **config: Any) -> None:
+        """Replace the configuration and have it read again."""
+        self.said = {**self.said, **config}
+        self.config.write_text(json.dumps(self.said) if text is None else text)
+        self.process.send_signal(signal.SIGHUP)
+
     def counters(self) -> dict[str, int]:
         """What it prints on SIGUSR1."""
         start = len(self.lines)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -16,7 +16,7 @@
 import unittest
 from typing import Any
 
-from tests.standins import SETTINGS, HttpWorker, http_call, running, wait_for
+from tests.standins import SETTINGS, Discovery, HttpWorker, http_call, running, wait_for
 
 
 def raw(address: str, data: bytes) -> bytes:
@@ -255,7 +255,7 @@
 
     def test_silence_and_half_a_request_end_in_time_and_kept_alive_connections_stay(self) -> None:
         ask = b"POST /time-lookup HTTP/1.1\r\nReq-Id: %s\r\nContent-Length: 0\r\n\r\n"
-        cases = [(b"", b""), (b"\r\n", b""), (b"POST /time", b"HTTP/1.1 408 "),
+        cases = [(b"", b""), (b"\r\n", b"HTTP/1.1 408 "), (b"POST /time", b"HTTP/1.1 408 "),
                  (ask[:-2] % b"h", b"HTTP/1.1 408 "),
                  (ask.replace(b"0\r\n\r\n", b"9\r\n\r\n") % b"b", b"HTTP/1.1 408 ")]  # fmt: skip
         with running([HttpWorker("h1")]) as (program, _):
@@ -408,6 +408,74 @@
             self.assertIn("answer.served 2", program.lines)
 
 
+class Reloading(unittest.TestCase):
+    def test_the_watch_moves_and_all_else_stays(self) -> None:
+        """Under way: a job, and a client's connection. The new address has other workers, and generations
+        that lie before the old one's."""
+        go = threading.Event()
+
+        def wait(worker: HttpWorker, rid: str, handler: Any) -> None:
+            handler.say(202)
+
+            def finish() -> None:
+                go.wait(20)
+                worker.tell(rid, "done", result="x")
+
+            threading.Thread(target=finish, daemon=True).start()
+
+        old, new = HttpWorker("h1", wait), HttpWorker("h2")
+        with running([old]) as (program, first):
+            first.generation = 90
+            first.list("h1", old.port)
+            wait_for(lambda: first.told == 91, "the old list")
+            second = Discovery()
+            second.list("h2", new.port)
+            new.back = program.edge
+            host, port = program.edge.split(":")
+            with socket.create_connection((host, int(port)), timeout=20) as sock:
+                sock.sendall(b"POST /result-post HTTP/1.1\r\nReq-Id: a\r\nContent-Length: 0\r\n\r\n")
+                wait_for(lambda: old.seen, "the job to be out")
+                program.hang_up(discovery=second.address)
+                program.process.send_signal(signal.SIGHUP)  # twice is harmless
+                wait_for(lambda: second.told == 2, "the new list")
+                go.set()
+                self.assertIn(b"200 OK", sock.recv(65536))
+            time.sleep(0.6)  # the grace of those that the new list does not name
+            for i in range(8):
+                self.assertEqual(http_call(program.edge, "POST", "/time-lookup", Req_Id=f"n{i}")[0], 200)
+            self.assertEqual((len(old.seen), sum(new.ran.values())), (1, 8))
+            asked = first.asked
+            second.list("h3", new.port)
+            wait_for(lambda: second.told == 3, "the watch at the new address")
+            self.assertEqual(first.asked, asked)
+            second.stop()
+            new.stop()
+
+    def test_a_bad_file_leaves_the_running_configuration(self) -> None:
+        worker = HttpWorker("h1")
+        with running([worker]) as (program, discovery):
+            half = json.dumps(program.said)[:-40]
+            for i, text in enumerate(("", half, "[]", '{"discovery": "x"}')):
+                with self.subTest(text=text[:20]):
+                    program.hang_up(text)
+                    wait_for(lambda i=i: len(program.lines) == i + 1, "the line that tells of it")
+                    self.assertIn("not reloaded", program.lines[i])
+            program.hang_up(seed="2", limits={"sockets": 512})
+            wait_for(lambda: len(program.lines) == 5, "the line that names what needs a restart")
+            self.assertRegex(program.lines[4], "restart is needed for: sockets$")
+            discovery.list("h1", worker.port)
+            wait_for(lambda: discovery.told == discovery.generation, "the list")
+            self.assertEqual(http_call(program.edge, "POST", "/time-lookup", Req_Id="a")[0], 200)
+
+    def test_it_may_come_near_the_end(self) -> None:
+        with running([HttpWorker("h1")]) as (program, _):
+            for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+                program.process.send_signal(number)
+            self.assertEqual(program.process.wait(20), 0)
+            program.reading.join(20)
+            self.assertIn("end of counters", program.lines)
+
+
 class Limits(unittest.TestCase):
     def test_it_survives_having_no_descriptors_left(self) -> None:
         """More connections than the limit allows, all idle: jobs are still served."""
