--- a/eiderpin/net/edge.py
+++ b/eiderpin/net/edge.py
@@ -223,9 +223,9 @@
             self.listener.rest()
 
     def make_room(self) -> bool:
-        """Close those who can be spared: who was refused and stays, who says nothing, who asked for our health
-        alone; and only where there are no others one client's kept-alive connection: it opens another when it
-        needs one. Returns whether there is room now."""
+        """Close those who can be spared: who was refused and stays, who says nothing, who asked for no more
+        than our health; only where there are no others one kept-alive connection: its client opens another
+        when it needs one. Returns whether there is room now."""
         now = self.loop.clock.now()
         if now < self.looked_at + LOOKS_APART:
             return len(self.connections) < self.most + EXTRA
