Risk no job that must not run twice on a connection that stood idle

Checked: a trace of how long each connection had stood. Of the 51 resets all came within 1 ms of the write, after 153 to 663 ms of standing; no fresh connection broke. So neither the worker nor conn_idle (5 s) was the cause: what lies between had forgotten them. A peek before the write (net/workers.py _alive) cannot see that. The handshake costs a few ms of work, against 1.6 s and more for a result-post.

Now a class that may not be repeated takes a connection that stood at most 50 ms, or a new one; others trust idle ones by what was learned: half of what one stood that went bad, doubling again every 10 s. A reset within 100 ms on a connection that had stood is told to the decisions as stale: the outcome stays a reset, but the worker does not rest for it.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -190,8 +190,11 @@
         scheduling.may_have_run = True
         self.counters.add("out.schedulings")
 
-    def ended(self, scheduling: Scheduling, outcome: api.Outcome, result: bytes = b"") -> None:
-        """How a scheduling ended; a first result goes to those who wait."""
+    def ended(
+        self, scheduling: Scheduling, outcome: api.Outcome, result: bytes = b"", stale: bool = False
+    ) -> None:
+        """How a scheduling ended; a first result goes to those who wait. `stale`: for a connection that had
+        stood idle, which says nothing of the worker."""
         if scheduling.ended:
             return
         scheduling.ended = True
@@ -205,7 +208,7 @@
         self._events.append(
             api.AttemptEnded(
                 flow.id, scheduling.number, scheduling.entry.name, outcome,
-                self.clock.now() - scheduling.made_at, flow.ended,
+                self.clock.now() - scheduling.made_at, flow.ended, stale=stale,
             )
         )  # fmt: skip
         self._release(flow)
--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -886,7 +886,8 @@
             if not job.over:
                 self.end(job)
             return
-        job.avoid.add(worker.name)
+        if not event.stale:
+            job.avoid.add(worker.name)
         if self.now < job.deadline and may_send(job, self.s, self.now):
             self.gather_job(job)
         elif not job.out:
@@ -949,7 +950,7 @@
             if self.learns_slots() and worker.ours + attempt.job.need > self.slots(worker):
                 worker.shape.misses += 1
             self.observe(worker, self.slots(worker) + 1.0, 0.0)
-        elif event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
+        elif event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and not event.stale:
             self.rest(worker)
         if worker.trial:
             self.set_ready(worker)
--- a/eiderpin/interface.py
+++ b/eiderpin/interface.py
@@ -243,6 +243,7 @@
     elapsed: float
     final: bool  # the request is over
     report: Report | None = None
+    stale: bool = False  # broke on a kept connection that had gone bad unused: the worker is not to blame
 
 
 @dataclass(slots=True)
--- a/eiderpin/net/workers.py
+++ b/eiderpin/net/workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 from typing import Any
 
@@ -15,6 +16,9 @@
 from eiderpin.net.loop import Connection, Loop
 
 IDLE_SHARE = 0.5  # of conn_idle: a connection is retired well before its worker closes it
+SURE_IDLE = 50.0  # ms; a connection that has stood no longer is taken to be up, whatever lies between
+STALE_WITHIN = 100.0  # ms after a write in which a reset is put down to a connection that had gone stale
+FORGIVEN = 10_000.0  # ms in which the trust in idle connections that was lost doubles again
 CALL_LIMIT = 1000.0  # ms for a cancel or a probe
 MOST_IDLE = 64  # connections kept to one worker
 
@@ -23,7 +27,7 @@
     """One connection to a worker; it carries one exchange at a time."""
 
     __slots__ = ("workers", "entry", "address", "conn", "reader", "scheduling", "request", "deadline",
-                 "probe_at", "in_exchange", "unwritten")  # fmt: skip
+                 "probe_at", "in_exchange", "unwritten", "rested_at", "stood", "begun_at")  # fmt: skip
 
     def __init__(self, workers: HttpWorkers, entry: ServiceEntry, conn: Connection) -> None:
         self.workers, self.entry, self.address, self.conn = workers, entry, entry.address, conn
@@ -34,11 +38,15 @@
         self.in_exchange = False
         self.unwritten = False  # some of the request has not been taken by the kernel
         self.deadline: Deadline | None = None
+        self.rested_at = self.begun_at = 0.0
+        self.stood = 0.0  # ms for which it stood idle before this exchange
         conn.on_open, conn.on_data, conn.on_end = self.opened, self.data, self.end
 
     def begin(self, request: bytes, scheduling: Scheduling | None) -> None:
         """Take one exchange on, a call's request or a scheduling; it is written once the connection is up."""
         self.in_exchange = self.unwritten = True
+        self.begun_at = self.workers.loop.clock.now()
+        self.stood = self.begun_at - self.rested_at if self.rested_at else 0.0
         self.request, self.scheduling = request, scheduling
         if scheduling is not None:
             scheduling.handle = self
@@ -120,7 +128,11 @@
         self.drop_deadline()
         scheduling, core = self.scheduling, self.workers.core
         if scheduling is not None:
-            core.ended(scheduling, api.Outcome.NOT_CONNECTED if self.unwritten else api.Outcome.RESET)
+            stale = self.stood > 0 and core.clock.now() < self.begun_at + STALE_WITHIN
+            if stale:
+                self.workers.went_stale(self.stood)
+            outcome = api.Outcome.NOT_CONNECTED if self.unwritten else api.Outcome.RESET
+            core.ended(scheduling, outcome, stale=stale)
         elif self.probe_at is not None:
             core.probed(self.entry, False, core.clock.now() - self.probe_at)
         self.scheduling, self.probe_at, self.in_exchange = None, None, False
@@ -144,11 +156,15 @@
         self.most = most
         self.open: set[WorkerConnection] = set()
         self.idle: dict[str, list[WorkerConnection]] = {}
+        self._trust, self._stale_at = math.inf, 0.0
 
     # -- what the core asks
 
     def send(self, scheduling: Scheduling) -> None:
-        connection = self._connection(scheduling.entry)
+        # What lies between may have forgotten a connection that stood idle, and the reset that a write to it
+        # brings would be the end of a job that must not run twice. A new connection costs far less.
+        once = self.core.classes[scheduling.flow.cls].repeat is not api.Repeat.FREE
+        connection = self._connection(scheduling.entry, SURE_IDLE if once else self.trust())
         if connection is None:
             self.core.ended(scheduling, api.Outcome.NOT_SENT)  # for want of a descriptor of our own
         else:
@@ -190,16 +206,28 @@
     # -- connections
 
     def _call(self, entry: ServiceEntry, request: bytes, probe_at: float | None) -> bool:
-        connection = self._connection(entry)
+        connection = self._connection(entry, self.trust())
         if connection is None:
             return False
         connection.probe_at = probe_at
         connection.begin(request, None)
         return True
 
-    def _connection(self, entry: ServiceEntry) -> WorkerConnection | None:
+    def trust(self) -> float:
+        """How long a connection may have stood idle and still be written to."""
+        full = IDLE_SHARE * self.core.settings.conn_idle
+        if math.isinf(self._trust):
+            return full
+        return min(full, self._trust * 2 ** ((self.loop.clock.now() - self._stale_at) / FORGIVEN))
+
+    def went_stale(self, stood: float) -> None:
+        self.core.counters.add("out.stale")
+        self._trust, self._stale_at = max(SURE_IDLE, min(self.trust(), stood / 2)), self.loop.clock.now()
+
+    def _connection(self, entry: ServiceEntry, most_idle: float) -> WorkerConnection | None:
         waiting = self.idle.get(entry.name, [])
-        while waiting:
+        since = self.loop.clock.now() - most_idle
+        while waiting and waiting[-1].rested_at >= since:  # the one that came to rest last is the last
             connection = waiting.pop()
             if connection.address == entry.address and _alive(connection.conn.sock):
                 return connection
@@ -232,8 +260,10 @@
             self.lost(connection)
             return
         waiting.append(connection)
-        limit = IDLE_SHARE * self.core.settings.conn_idle
-        connection.deadline = self.loop.deadlines.set(self.loop.clock.now() + limit, connection.too_late)
+        connection.rested_at = self.loop.clock.now()
+        connection.deadline = self.loop.deadlines.set(
+            connection.rested_at + self.trust(), connection.too_late
+        )
 
     def lost(self, connection: WorkerConnection) -> None:
         self.open.discard(connection)
