Learn a worker's slots only from jobs that have run beside each other a while

Checked: the worker tells each event on a connection of its own. When a job on trial starts in the place of one that has just ended, its start may be told before that end; decide.py hear_start() then counted five at once, for good and for the whole shape.

Now a start counts from 100 ms on, at any later news of that worker.

--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -71,6 +71,8 @@
 FULL_ROUNDS = 2  # this many rounds in a row that place nothing end the turn: there is no room to be found
 SLOTS_GUESS = 4.0  # slots of a worker where neither ratings nor reports tell ...
 START_LATE = 100.0  # ms; ... a start that comes later than this shows a worker that was full ...
+SETTLED = 100.0  # ms; how long a start must lie back before it counts as running beside others: the end that
+# made room for it may be told on another connection, and after it
 TRIAL_MISSES = 3  # ... and so many such starts, or turn-downs, end the trials of one slot more
 COLD_MARGIN = 0.5  # share of a cold worker's budget that is used; the rest is for chance and misjudged work
 SPAN_MARGIN = 0.9  # share of a memory span in which a guarded repeat is still sent
@@ -527,14 +529,18 @@
         )
 
     def hear_start(self, attempt: Attempt) -> None:
-        """A start shows room: jobs of ours that run at once are slots that the shape has."""
-        worker, slots = attempt.worker, self.slots(attempt.worker)
-        if self.now - attempt.sent > START_LATE:
-            if worker.ours > slots:
-                worker.shape.misses += 1
+        """A late start on a worker that has more than its slots shows that it has no more."""
+        if self.now - attempt.sent > START_LATE and attempt.worker.ours > self.slots(attempt.worker):
+            attempt.worker.shape.misses += 1
+
+    def count_running(self, worker: Worker) -> None:
+        """Jobs of ours that run at once are slots that the shape has."""
+        if worker.known_slots or not self.learns_slots():
             return
-        running = sum(a.job.need for a in worker.out.values() if a.started >= 0)
-        if running > slots and not worker.known_slots:
+        settled = self.now - SETTLED
+        running = sum(a.job.need for a in worker.out.values() if 0 <= a.started <= settled)
+        slots = self.slots(worker)
+        if running > slots:
             worker.shape.slots = running
             worker.shape.misses = 0
             grown = [w for w in self.workers.values() if w.shape is worker.shape]
@@ -873,6 +879,7 @@
         if attempt is None:
             return
         job, worker = attempt.job, attempt.worker
+        self.count_running(worker)
         del worker.out[job.id, attempt.number]
         worker.ended.append((attempt.sent, self.now, job.need))
         worker.ours -= job.need
@@ -897,6 +904,7 @@
         attempt = self.attempts.get((event.request, event.attempt))
         if attempt is None:
             return
+        self.count_running(attempt.worker)
         if event.started:
             attempt.started = self.now
             if self.learns_slots():
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -12,7 +12,7 @@
 from eiderpin.core.deadlines import Clock, Deadlines
 from eiderpin.core.flows import Answer, Flow, SlotTable, TableFull, Verdict
 from eiderpin.core.schedulings import Scheduling, ServiceEntry
-from eiderpin.decide import SLOTS_GUESS
+from eiderpin.decide import SLOTS_GUESS, TRIAL_MISSES
 from eiderpin.decide import Dispatcher as Module
 from eiderpin.net.loop import Connection, Loop
 
@@ -232,7 +232,7 @@
     def test_starts_raise_the_figure_and_late_ones_end_the_trials(self) -> None:
         for prompt in (True, False):
             with self.subTest(prompt=prompt):
-                module, now, out = self.module(), 1000.0, 0
+                module, now, out, ends = self.module(), 1000.0, 0, 0
                 for number in range(12):
                     asked: list[api.Event] = [api.Request(number, "look", 9000.0, hint=100.0)]
                     now += 300
@@ -240,10 +240,30 @@
                         out += 1
                         late = not prompt and out > SLOTS_GUESS
                         now += 400 if late else 201
+                        if late:  # it waited until another ended
+                            done = api.AttemptEnded(ends, 0, "w1", api.Outcome.DONE, 900.0, True)
+                            module.handle(now - 1, [done])
+                            ends, out = ends + 1, out - 1
                         module.handle(now, [api.Progress(sent.request, 0, "w1", True)])
+                        now += 150
+                        module.handle(now, [api.Progress(sent.request, 0, "w1", False, 0.9)])
                 slots = module.slots(module.workers["w1"])
                 self.assertEqual(slots > SLOTS_GUESS, prompt)
                 self.assertLessEqual(out, slots + 1)
+                self.assertEqual(module.workers["w1"].shape.misses >= TRIAL_MISSES, not prompt)
+
+    def test_an_end_that_is_told_after_the_start_it_made_room_for_raises_nothing(self) -> None:
+        module, now, open_jobs = self.module(), 1000.0, []
+        for number in range(40):
+            now += 300
+            for sent in self.sends(module, now, [api.Request(number, "look", 9000.0, hint=100.0)]):
+                open_jobs.append(sent.request)
+                now += 250
+                module.handle(now, [api.Progress(sent.request, 0, "w1", True)])
+                if len(open_jobs) > SLOTS_GUESS:
+                    ended = api.AttemptEnded(open_jobs.pop(0), 0, "w1", api.Outcome.DONE, 900.0, True)
+                    module.handle(now + 20, [ended])
+        self.assertEqual(module.slots(module.workers["w1"]), SLOTS_GUESS)
 
     def test_without_starts_nothing_is_tried(self) -> None:
         module = self.module(tells_start=False)
