--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -174,13 +174,14 @@
 
 
 class Attempt:
-    __slots__ = ("job", "number", "worker", "sent", "started", "expected")
+    __slots__ = ("job", "number", "worker", "sent", "started", "expected", "over")
 
     def __init__(self, job: Job, number: int, worker: Worker, now: float, expected: float) -> None:
         self.job, self.number, self.worker = job, number, worker
         self.sent = now
         self.started = -1.0
         self.expected = expected  # run time foreseen on this worker
+        self.over = False  # sent past the slots that are known, to see whether it starts at once
 
 
 class Job:
@@ -529,8 +530,8 @@
         )
 
     def hear_start(self, attempt: Attempt) -> None:
-        """A late start on a worker that has more than its slots shows that it has no more."""
-        if self.now - attempt.sent > START_LATE and attempt.worker.ours > self.slots(attempt.worker):
+        """A trial that starts late, once another has ended, shows that there is no slot more."""
+        if attempt.over and self.now - attempt.sent > START_LATE:
             attempt.worker.shape.misses += 1
 
     def count_running(self, worker: Worker) -> None:
@@ -841,6 +842,7 @@
         worker.out[job.id, attempt.number] = attempt
         worker.ours += job.need
         self.ours += job.need
+        attempt.over = worker.ours > self.slots(worker)
         if worker.cold_until > self.now:
             worker.cold_spent.append((self.now, attempt.expected * job.need))
         if worker.trial:
