Find the attempts that never reached their worker, and blame only mute workers

Checked: a trace of each flow and of each attempt's end; the attempts were never accepted. decide.py slowness() asked the oldest attempt alone.

Now, where starts are told: an attempt not told of within 600 ms, while one sent later was, is lost; its slot is free and it says nothing of its worker. A worker that told of nothing at all since rests. What may run again is called off there and goes elsewhere; queued jobs stay.

--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -12,6 +12,7 @@
 import heapq
 import math
 import random
+from collections import deque
 from collections.abc import Iterable
 from zlib import crc32
 
@@ -71,6 +72,8 @@
 FULL_ROUNDS = 2  # this many rounds in a row that place nothing end the turn: there is no room to be found
 SLOTS_GUESS = 4.0  # slots of a worker where neither ratings nor reports tell ...
 START_LATE = 100.0  # ms; ... a start that comes later than this shows a worker that was full ...
+SILENT = 600.0  # ms without a start, where starts are told, after which an attempt is taken to be lost
+APART = 100.0  # ms; sends further apart than this reach their worker in their order
 SETTLED = 100.0  # ms; how long a start must lie back before it counts as running beside others: the end that
 # made room for it may be told on another connection, and after it
 TRIAL_MISSES = 3  # ... and so many such starts, or turn-downs, end the trials of one slot more
@@ -115,7 +118,7 @@
     __slots__ = (
         "name", "zone", "shape", "shape_name", "cell", "rating", "size", "born", "state", "ready", "out",
         "ours", "others", "others_at", "slow", "slow_at", "failures", "trial", "rest_until", "cold_until",
-        "cold_spent", "pools", "ended", "classes", "known_slots",
+        "cold_spent", "pools", "ended", "classes", "known_slots", "heard",
     )  # fmt: skip
 
     def __init__(self, entry: WorkerEntry, shape: Shape) -> None:
@@ -140,6 +143,7 @@
         self.pools: list[Pool] = []
         self.classes = entry.classes
         self.known_slots = entry.slots
+        self.heard = -math.inf  # when it last told of anything
         self.ended: list[tuple[float, float, float]] = []  # (sent, ended, slots) of ours, lately
 
 
@@ -174,13 +178,14 @@
 
 
 class Attempt:
-    __slots__ = ("job", "number", "worker", "sent", "started", "expected", "over")
+    __slots__ = ("job", "number", "worker", "sent", "started", "expected", "over", "lost")
 
     def __init__(self, job: Job, number: int, worker: Worker, now: float, expected: float) -> None:
         self.job, self.number, self.worker = job, number, worker
         self.sent = now
         self.started = -1.0
         self.expected = expected  # run time foreseen on this worker
+        self.lost = False  # its worker lives and has not heard of it
         self.over = False  # sent past the slots that are known, to see whether it starts at once
 
 
@@ -333,6 +338,7 @@
         self.jobs: dict[int, Job] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.expiry: list[tuple[float, int]] = []
+        self.unstarted: deque[Attempt] = deque()  # in the order of their sends
         self.resting: list[tuple[float, str]] = []
         self.gathering: dict[Kind, Gathering] = {}
         self.gather = max(GATHER * min(c.aim for c in settings.classes), GATHER_TICKS * settings.tick)
@@ -374,6 +380,7 @@
             handler(event)  # type: ignore[operator]
         self.discovery()
         self.expire()
+        self.find_silent()
         self.run_rounds()
         self.set_timer()
         return self.actions
@@ -562,7 +569,10 @@
             age = (self.now - worker.slow_at) / (SPEED_MEMORY * self.run_mean)
             slow *= 1.0 + (worker.slow - 1.0) * math.exp(-age)
         for attempt in worker.out.values():
-            # Silence must make a worker look worse, never emptier: its oldest attempt tells.
+            # Silence must make a worker look worse, never emptier: its oldest attempt tells. But one that got
+            # lost on its way would do so for all of its client's patience.
+            if attempt.lost:
+                continue
             late = (self.now - attempt.sent) / (OVERDUE * max(attempt.expected, 1.0))
             if late > 1.0:
                 slow *= late
@@ -840,6 +850,8 @@
         job.out.append(attempt)
         self.attempts[job.id, attempt.number] = attempt
         worker.out[job.id, attempt.number] = attempt
+        if self.s.tells_start:
+            self.unstarted.append(attempt)
         worker.ours += job.need
         self.ours += job.need
         attempt.over = worker.ours > self.slots(worker)
@@ -883,9 +895,12 @@
         job, worker = attempt.job, attempt.worker
         self.count_running(worker)
         del worker.out[job.id, attempt.number]
+        if event.outcome in (Outcome.DONE, Outcome.ERROR, Outcome.REJECTED):
+            self.hear(attempt, event.outcome is Outcome.DONE)
         worker.ended.append((attempt.sent, self.now, job.need))
-        worker.ours -= job.need
-        self.ours -= job.need
+        if not attempt.lost:
+            worker.ours -= job.need
+            self.ours -= job.need
         job.out.remove(attempt)
         if not event.outcome.never_ran:
             job.risky.append(attempt)
@@ -907,6 +922,7 @@
         if attempt is None:
             return
         self.count_running(attempt.worker)
+        self.hear(attempt, True)
         if event.started:
             attempt.started = self.now
             if self.learns_slots():
@@ -965,6 +981,49 @@
         if worker.trial:
             self.set_ready(worker)
 
+    def hear(self, attempt: Attempt, ran: bool) -> None:
+        """A worker has told of an attempt, and that it runs or ran, or not so.
+
+        It starts jobs in their order: of a job that was sent well before, and has not started, it knows
+        nothing. A connection fell silent, and the slot is free.
+        """
+        worker = attempt.worker
+        worker.heard = self.now
+        if attempt.lost:
+            attempt.lost = False
+            worker.ours += attempt.job.need
+            self.ours += attempt.job.need
+        for other in worker.out.values():
+            if not ran or other.sent + APART >= attempt.sent:
+                break
+            if other.started < 0 and not other.lost and other.sent + SILENT <= self.now:
+                other.lost = True
+                worker.ours -= other.job.need
+                self.ours -= other.job.need
+
+    def find_silent(self) -> None:
+        """Where starts are told, look at the attempts of which none was told in time. A worker that has told
+        of nothing since may be cut off. A job that may run again goes elsewhere from there, and from a
+        connection that fell silent; one that waits its turn stays."""
+        while self.unstarted:
+            attempt = self.unstarted[0]
+            if not self.settled(attempt) and self.now < attempt.sent + SILENT:
+                break
+            self.unstarted.popleft()
+            if self.settled(attempt):
+                continue
+            job, worker = attempt.job, attempt.worker
+            mute = worker.heard <= attempt.sent
+            if mute:
+                self.rest(worker)
+            again = job.spec.repeat is Repeat.FREE and self.s.may_cancel and job.sends < self.s.max_attempts
+            if again and (mute or attempt.lost):
+                self.actions.append(Cancel(job.id, attempt.number))
+
+    def settled(self, attempt: Attempt) -> bool:
+        """Whether there is nothing to find out of an attempt: it has started or ended."""
+        return attempt.started >= 0 or (attempt.job.id, attempt.number) not in self.attempts
+
     def rest(self, worker: Worker) -> None:
         """A failing worker leaves the draw for a while, longer each time in a row, and returns on trial."""
         if worker.rest_until > self.now:
@@ -984,6 +1043,8 @@
         due = min((g.due for g in self.gathering.values()), default=math.inf)
         if self.expiry:
             due = min(due, self.expiry[0][0])
+        if self.unstarted:
+            due = min(due, self.unstarted[0].sent + SILENT)
         due = max(min(due, self.ask_at), self.now)
         if self.asked_at > -math.inf:
             due = min(due, self.asked_at + self.s.ask_within + self.s.tick)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -305,6 +305,61 @@
         self.assertEqual({len(p.items) for p in module.pools.values()}, {1})
 
 
+class Silence(unittest.TestCase):
+    """A worker tells of each start; what it does not tell of in time may never have reached it."""
+
+    def setUp(self) -> None:
+        classes = [api.RequestClass("look", 500, 80, 9000, repeat=api.Repeat.FREE),
+                   api.RequestClass("post", 500, 80, 9000)]  # fmt: skip
+        self.now = 1000.0
+        settings = api.Settings(classes, tick=4, ratings=False, tells_start=True, may_cancel=True)
+        self.module = Module(settings, 1)
+        self.module.handle(1000.0, [api.Membership(api.ListKind.COMPLETE, [entry("w1"), entry("w2")])])
+
+    def pass_time(self, ms: float, *events: api.Event) -> list[api.Action]:
+        got = self.module.handle(self.now, events)
+        for _ in range(int(ms // 50)):
+            self.now += 50
+            got += self.module.handle(self.now, [])
+        return got
+
+    def send(self, number: int, cls: str) -> str:
+        got = self.pass_time(50, api.Request(number, cls, 9000.0, hint=100.0))
+        (sent,) = [a for a in got if isinstance(a, api.Send)]
+        return sent.worker
+
+    def test_a_job_that_may_run_again_goes_elsewhere_and_a_mute_worker_rests(self) -> None:
+        first = self.send(1, "look")
+        actions = self.pass_time(700)
+        self.assertIn(api.Cancel(1, 0), actions)
+        self.assertGreater(self.module.explain_worker(first)["rests_for"], 0)
+        ended = api.AttemptEnded(1, 0, first, api.Outcome.CANCELLED, 600.0, False)
+        again = [a for a in self.pass_time(100, ended) if isinstance(a, api.Send)]
+        self.assertEqual([a.request for a in again], [1])
+        self.assertNotEqual(again[0].worker, first)
+
+    def test_a_lost_single_shot_does_not_spoil_its_worker(self) -> None:
+        """Its connection fell silent; the worker goes on with what comes after it."""
+        self.module.handle(self.now, [api.Membership(api.ListKind.COMPLETE, [entry("w1")])])
+        lost, number = self.send(1, "post"), 1
+        while number < 30:
+            number += 1
+            worker = self.send(number, "look")
+            self.pass_time(50, api.Progress(number, 0, worker, True))
+            self.pass_time(100, api.AttemptEnded(number, 0, worker, api.Outcome.DONE, 200.0, True))
+        facts = self.module.explain_worker(lost)
+        self.assertEqual((facts["ours"], facts["rests_for"]), (0.0, 0.0))
+        self.assertLess(facts["slowness"], 2.0)
+        late = api.AttemptEnded(1, 0, lost, api.Outcome.DONE, 6000.0, True)  # it was only very late
+        self.pass_time(50, late)
+        self.assertEqual(self.module.explain_worker(lost)["ours"], 0.0)
+
+    def test_a_start_that_is_told_leaves_all_as_it_is(self) -> None:
+        worker = self.send(1, "look")
+        self.pass_time(50, api.Progress(1, 0, worker, True))
+        self.assertEqual([a for a in self.pass_time(700) if isinstance(a, api.Cancel)], [])
+
+
 class OneTurn(unittest.TestCase):
     def test_a_connection_may_be_closed_by_another_ones_handler(self) -> None:
         """Both are ready in one turn; the second must be passed over, not looked up by its closed socket."""
