Take slowness from sums of run times and hints, not from the mean of ratios

Checked: a trace of every flow (hint, aim, sends, age) beside the beliefs. Single workers were believed 87 and 144 times slow by one such job, by slowness() and on_progress(), which measured it against its own hint.

Now class Pace keeps two fading sums, for the fleet, a shape and a worker, and overdue and slow progress are measured against a mean job at least.

--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -61,6 +61,7 @@
 SPEED_GAIN = 0.25  # weight of a new run in a worker's own speed
 SHAPE_GAIN = 0.05  # and in that of its shape and in a class's mean
 SPEED_MEMORY = 8.0  # a worker's own slowness fades with this many mean run times, so it is tried again
+BOUND = 4.0  # a shape hears no more of one run than this many times what was to be expected of it
 OVERDUE = 2.5  # an attempt out this many times longer than expected makes its worker look worse
 REST = 1.0  # first rest of a failing worker, in mean run times; doubles with each failure in a row ...
 REST_LIMIT = 4  # ... up to this many doublings
@@ -84,15 +85,36 @@
 # ---- workers and membership ----------------------------------------------------------------------------
 
 
+class Pace:
+    """Run time over work, as the ratio of their fading sums.
+
+    Hints are rough. The mean of each run's own ratio would be ruled by jobs whose hint was far too low, and
+    show workers to be two or three times slower than they are.
+    """
+
+    __slots__ = ("run", "work")
+
+    def __init__(self) -> None:
+        self.run = self.work = 0.0
+
+    def hear(self, run: float, work: float, usual: float, gain: float) -> float:
+        """Take in one run; `usual` is a mean job's work, of which one at pace 1 is there to begin with."""
+        if self.work <= 0:
+            self.run = self.work = usual
+        self.run += run - gain * self.run
+        self.work += work - gain * self.work
+        return self.run / max(self.work, 1.0)
+
+
 class Shape:
     """What is learned of one kind of machine."""
 
-    __slots__ = ("slots", "slow", "runs", "asked", "step", "steps", "misses")
+    __slots__ = ("slots", "slow", "pace", "asked", "step", "steps", "misses")
 
     def __init__(self) -> None:
         self.slots = 0.0  # slots of one worker, 0 until a report shows it
         self.slow = 1.0  # run time over expected work
-        self.runs = 0
+        self.pace = Pace()
         self.asked = False  # a probe is out that may show the slots
         self.step = 0.0  # requests per core of a worker that holds one: 1 / cores
         self.steps = 0
@@ -117,8 +139,8 @@
 
     __slots__ = (
         "name", "zone", "shape", "shape_name", "cell", "rating", "size", "born", "state", "ready", "out",
-        "ours", "others", "others_at", "slow", "slow_at", "failures", "trial", "rest_until", "cold_until",
-        "cold_spent", "pools", "ended", "classes", "known_slots", "heard",
+        "ours", "others", "others_at", "slow", "slow_at", "pace", "failures", "trial", "rest_until",
+        "cold_until", "cold_spent", "pools", "ended", "classes", "known_slots", "heard",
     )  # fmt: skip
 
     def __init__(self, entry: WorkerEntry, shape: Shape) -> None:
@@ -134,6 +156,7 @@
         self.others = -1.0  # slots held by others when last observed, -1: never
         self.others_at = 0.0
         self.slow = 1.0  # own run time over its shape's
+        self.pace = Pace()
         self.slow_at = 0.0
         self.failures = 0  # in a row
         self.trial = False  # back from a rest: one attempt at a time until one succeeds
@@ -178,13 +201,14 @@
 
 
 class Attempt:
-    __slots__ = ("job", "number", "worker", "sent", "started", "expected", "over", "lost")
+    __slots__ = ("job", "number", "worker", "sent", "started", "expected", "usual", "over", "lost")
 
     def __init__(self, job: Job, number: int, worker: Worker, now: float, expected: float) -> None:
         self.job, self.number, self.worker = job, number, worker
         self.sent = now
         self.started = -1.0
         self.expected = expected  # run time foreseen on this worker
+        self.usual = expected  # or that of a mean job, if it is longer
         self.lost = False  # its worker lives and has not heard of it
         self.over = False  # sent past the slots that are known, to see whether it starts at once
 
@@ -344,6 +368,7 @@
         self.gather = max(GATHER * min(c.aim for c in settings.classes), GATHER_TICKS * settings.tick)
         self.work: dict[str, float] = {}  # mean run or hint of a class
         self.slow_mean = 1.0  # run time over work, fleet-wide
+        self.pace = Pace()
         self.run_mean = max(min(c.aim for c in settings.classes), 1.0)  # mean run time, learned
         self.timer_at = math.inf
         self.timer_handle = 0
@@ -423,7 +448,7 @@
         if entry.born and entry.born != worker.born:
             # A new process: what was learned of the old one is void, and it starts cold.
             worker.failures, worker.trial, worker.rest_until = 0, False, 0.0
-            worker.others, worker.slow = -1.0, 1.0
+            worker.others, worker.slow, worker.pace = -1.0, 1.0, Pace()
         worker.born = entry.born
         if entry.born and entry.born + self.s.warm_up > self.now:
             worker.cold_until = entry.born + self.s.warm_up
@@ -573,7 +598,7 @@
             # lost on its way would do so for all of its client's patience.
             if attempt.lost:
                 continue
-            late = (self.now - attempt.sent) / (OVERDUE * max(attempt.expected, 1.0))
+            late = (self.now - attempt.sent) / (OVERDUE * max(attempt.usual, 1.0))
             if late > 1.0:
                 slow *= late
             break
@@ -641,15 +666,12 @@
         self.run_mean += SHAPE_GAIN * (run - self.run_mean)
         if worker.cold_until > self.now:
             return
-        ratio = min(max(run / max(job.work, 1.0), 0.1), 20.0)
-        self.slow_mean += SHAPE_GAIN * (min(ratio, 2.0 * self.slow_mean) - self.slow_mean)
-        shape.runs += 1
-        gain = max(SHAPE_GAIN, 1.0 / shape.runs)
+        usual = self.work.get(job.spec.name, job.work)
+        self.slow_mean = self.pace.hear(run, job.work, usual, SHAPE_GAIN)
         # A slow worker must not make its whole shape look slow: the shape hears a bounded share of it.
-        heard = min(ratio, 2.0 * shape.slow) if shape.runs > 10 else ratio
-        shape.slow += gain * (heard - shape.slow)
-        own = ratio / shape.slow
-        worker.slow += SPEED_GAIN * (own - worker.slow)
+        heard = min(run, BOUND * shape.slow * max(job.work, usual))
+        shape.slow = shape.pace.hear(heard, job.work, usual, SHAPE_GAIN)
+        worker.slow = worker.pace.hear(run, job.work * shape.slow, usual * shape.slow, SPEED_GAIN)
         worker.slow_at = self.now
 
     def load(self, worker: Worker, need: float) -> tuple[float, float]:
@@ -846,6 +868,7 @@
 
     def send(self, job: Job, worker: Worker) -> None:
         attempt = Attempt(job, job.sends, worker, self.now, self.expected_run(worker, job))
+        attempt.usual = max(attempt.expected, self.work.get(job.spec.name, 0.0) * worker.shape.slow)
         job.sends += 1
         job.out.append(attempt)
         self.attempts[job.id, attempt.number] = attempt
@@ -930,7 +953,7 @@
         elif event.share > 0:
             # Bad news early: a worker gone slow shows in a job's progress long before it ends.
             since = attempt.started if attempt.started >= 0 else attempt.sent
-            ratio = (self.now - since) / event.share / max(attempt.expected, 1.0)
+            ratio = (self.now - since) / event.share / max(attempt.usual, 1.0)
             if ratio > OVERDUE:
                 worker = attempt.worker
                 worker.slow += SPEED_GAIN * (min(ratio, 20.0) - worker.slow)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -360,6 +360,25 @@
         self.assertEqual([a for a in self.pass_time(700) if isinstance(a, api.Cancel)], [])
 
 
+class RoughHints(unittest.TestCase):
+    def test_hints_that_are_far_too_low_make_no_worker_slow(self) -> None:
+        """Runs and hints have the same sums; the mean of each run's own ratio would be over 5."""
+        spec = api.RequestClass("look", 500, 80, 9000, repeat=api.Repeat.FREE)
+        module, now = Module(api.Settings([spec], tick=4, ratings=False), 1), 1000.0
+        module.handle(now, [api.Membership(api.ListKind.COMPLETE, [entry("w1")])])
+        for number in range(100):
+            hint, run = ((10.0, 100.0), (300.0, 210.0))[number % 2]
+            now += 50
+            module.handle(now, [api.Request(number, "look", 9000.0, hint=hint)])
+            now += 50
+            module.handle(now, [])
+            now += run
+            module.handle(now, [api.AttemptEnded(number, 0, "w1", api.Outcome.DONE, run, True)])
+            if number > 20:
+                self.assertTrue(0.6 < module.slow_mean < 1.5 and 0.6 < module.shapes["m"].slow < 1.5)
+                self.assertTrue(0.3 < module.slowness(module.workers["w1"]) < 2.5)
+
+
 class OneTurn(unittest.TestCase):
     def test_a_connection_may_be_closed_by_another_ones_handler(self) -> None:
         """Both are ready in one turn; the second must be passed over, not looked up by its closed socket."""
