Send a worker no more of a class whose jobs it does not tell of

Checked: a trace of each attempt called off. All were written whole, on new connections (11) and kept ones (17) alike, at 7 of 12 workers, which told of time-lookups all the while. The decisions learned nothing: a result-post has no outcome before its client's patience ends, and the worker was not mute.

Now a class of which a live worker did not tell within 600 ms is not sent there for two mean run times, doubling, until it tells of one.

--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -65,6 +65,7 @@
 OVERDUE = 2.5  # an attempt out this many times longer than expected makes its worker look worse
 REST = 1.0  # first rest of a failing worker, in mean run times; doubles with each failure in a row ...
 REST_LIMIT = 4  # ... up to this many doublings
+SHUN = 2.0  # mean run times for which a worker is first not sent a class that it did not tell of
 KEEP_SHARE = 0.25  # never let failing workers' rests leave less than this share of the fleet to draw from
 RUN_MARGIN = 1.2  # a job is taken to run this many times longer than expected when its latest start is set
 HOPE = 0.7  # a job is given up when even this share of its expected run would end after its aim
@@ -140,7 +141,7 @@
     __slots__ = (
         "name", "zone", "shape", "shape_name", "cell", "rating", "size", "born", "state", "ready", "out",
         "ours", "others", "others_at", "slow", "slow_at", "pace", "failures", "trial", "rest_until",
-        "cold_until", "cold_spent", "pools", "ended", "classes", "known_slots", "heard",
+        "cold_until", "cold_spent", "pools", "ended", "classes", "known_slots", "heard", "shuns",
     )  # fmt: skip
 
     def __init__(self, entry: WorkerEntry, shape: Shape) -> None:
@@ -167,6 +168,7 @@
         self.classes = entry.classes
         self.known_slots = entry.slots
         self.heard = -math.inf  # when it last told of anything
+        self.shuns: dict[str, tuple[float, int]] = {}  # classes not sent to it: until when, times in a row
         self.ended: list[tuple[float, float, float]] = []  # (sent, ended, slots) of ours, lately
 
 
@@ -821,6 +823,7 @@
         return (
             worker.ready
             and worker.name not in job.avoid
+            and worker.shuns.get(job.spec.name, (0.0, 0))[0] <= self.now
             and self.room(worker, job.need, self.latest_start(job) < self.now)
             and self.in_time(worker, job)
             and self.cold_allows(worker, job)
@@ -1012,6 +1015,8 @@
         """
         worker = attempt.worker
         worker.heard = self.now
+        if ran:
+            worker.shuns.pop(attempt.job.spec.name, None)
         if attempt.lost:
             attempt.lost = False
             worker.ours += attempt.job.need
@@ -1039,6 +1044,11 @@
             mute = worker.heard <= attempt.sent
             if mute:
                 self.rest(worker)
+            else:
+                # It may lose jobs of one class alone, and go on with the others.
+                _, times = worker.shuns.get(job.spec.name, (0.0, 0))
+                until = self.now + SHUN * self.run_mean * 2 ** min(times, REST_LIMIT)
+                worker.shuns[job.spec.name] = (until, times + 1)
             again = job.spec.repeat is Repeat.FREE and self.s.may_cancel and job.sends < self.s.max_attempts
             if again and (mute or attempt.lost):
                 self.actions.append(Cancel(job.id, attempt.number))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -354,6 +354,17 @@
         self.pass_time(50, late)
         self.assertEqual(self.module.explain_worker(lost)["ours"], 0.0)
 
+    def test_a_worker_that_loses_one_class_is_sent_the_others(self) -> None:
+        self.module.handle(self.now, [api.Membership(api.ListKind.COMPLETE, [entry("w1")])])
+        self.send(1, "post")
+        self.send(2, "look")
+        self.pass_time(700, api.Progress(2, 0, "w1", True))
+        held = self.pass_time(150, api.Request(3, "post", 9000.0, hint=100.0))
+        self.assertEqual([a for a in held if isinstance(a, api.Send)], [])
+        self.assertEqual(self.send(4, "look"), "w1")
+        told = self.pass_time(100, api.Progress(1, 0, "w1", True))  # it was only late
+        self.assertEqual([a.request for a in told if isinstance(a, api.Send)], [3])
+
     def test_a_start_that_is_told_leaves_all_as_it_is(self) -> None:
         worker = self.send(1, "look")
         self.pass_time(50, api.Progress(1, 0, worker, True))
