Open a door for operators: ready, on a listener and descriptors of its own

Descriptors are kept back by what is configured (OWN, agent-check's, the door's) in place of one SPARE, and EXTRA is a share of small limits, so that 96 still share out.

--- a/eiderpin/net/edge.py
+++ b/eiderpin/net/edge.py
@@ -17,7 +17,6 @@
 IDLE_LIMIT = 120_000.0  # ms
 UNREAD_LIMIT = 15_000.0  # ms in which a client must take something of its answer
 WHOLE_LIMIT = 2400.0  # ms, from the connection or a request's first byte, in which it must have come whole
-EXTRA = 48  # connections past those that may wait for jobs, for call-backs and for those who say nothing
 NO_FLOW = Flow("", "", b"", b"", 0.0)
 FRESH = 150.0  # ms for which a connection is not closed to make room: its request is on its way
 LOOKS_APART = 10.0  # ms between looks for room: each one costs a look at every connection
@@ -200,11 +199,13 @@
         news: Callable[[bytes], int],
         ready: Callable[[], str],
         most: int,
+        extra: int,
         memory: int,
     ) -> None:
         self.loop, self.core, self.counters = loop, core, core.counters
         self.news, self.ready = news, ready
         self.most = most  # jobs that may be waited for
+        self.extra = extra  # connections past those, for call-backs and for those who say nothing
         self.memory, self.held = memory, 0  # bytes of requests that may be held, and are
         self.looked_at = 0.0  # when room was last made
         self.draining = False
@@ -216,9 +217,9 @@
         self.counters.add("in.edge_connections")
         edge = EdgeConnection(self, conn)
         edge.number = self.connections.add(edge)
-        if len(self.connections) >= self.most + EXTRA // 2:
+        if len(self.connections) >= self.most + self.extra // 2:
             self.make_room()
-        if len(self.connections) >= self.most + EXTRA:
+        if len(self.connections) >= self.most + self.extra:
             # More would take descriptors that the workers' side needs; these wait in the backlog.
             self.listener.rest()
 
@@ -228,21 +229,21 @@
         when it needs one. Returns whether there is room now."""
         now = self.loop.clock.now()
         if now < self.looked_at + LOOKS_APART:
-            return len(self.connections) < self.most + EXTRA
+            return len(self.connections) < self.most + self.extra
         self.looked_at = now
         ranks = [(rank, e.last, e.number) for e in self.connections.all()
                  if (rank := e.spare(now)) is not None]  # fmt: skip
         ranks.sort()
         few = [number for rank, _, number in ranks if rank < 2]
         others = any(e.conn.closing or not (e.worked or e.busy) for e in self.connections.all())
-        if not others and len(self.connections) >= self.most + EXTRA:
+        if not others and len(self.connections) >= self.most + self.extra:
             few = [number for _, _, number in ranks[:1]]
         for number in few:
             edge = self.connections.get(number)
             if edge is not None:
                 self.counters.add("in.made_room")
                 edge.conn.close()
-        return len(self.connections) < self.most + EXTRA
+        return len(self.connections) < self.most + self.extra
 
     def forget(self, edge: EdgeConnection) -> None:
         self.connections.remove(edge.number)
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -17,15 +17,17 @@
 from eiderpin.core.deadlines import Clock, Deadlines
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.net import discovery
-from eiderpin.net.agent_check import AgentCheck
-from eiderpin.net.edge import EXTRA, Edge
+from eiderpin.net.agent_check import MOST_OPEN, AgentCheck
+from eiderpin.net.edge import Edge
 from eiderpin.net.gearman_front import GearmanFront
 from eiderpin.net.loop import Loop
+from eiderpin.net.management import MOST_CALLERS, Management
 from eiderpin.net.workers import HttpWorkers
 
 LINGER = 600.0  # ms after SIGTERM in which new connections may still come
-SPARE = 24  # descriptors kept for the listeners, discovery, agent-check and chance
+OWN = 16  # descriptors for standard streams, signals, listeners, discovery and chance
 FEW_SOCKETS = 96  # fewer cannot be shared out
+EXTRA, EXTRA_SHARE = 48, 1 / 6  # edge connections past those that wait for jobs: so many, or this share
 HELD_SHARE = 0.125  # of the memory, for requests that wait or have not come whole
 
 
@@ -49,6 +51,20 @@
     settings: api.Settings
     gearman: tuple[str, int] | None = None  # None: off
     agent_check: tuple[str, int] | None = None
+    management: tuple[str, int] | None = None  # the operators' door; None: off
+
+
+def shares(config: Config) -> tuple[int, int, int]:
+    """How many descriptors the workers' side, each front and the edge's further connections may use."""
+    spare = OWN
+    spare += MOST_OPEN if config.agent_check is not None else 0
+    spare += MOST_CALLERS if config.management is not None else 0
+    extra = min(EXTRA, int(EXTRA_SHARE * config.sockets))
+    # A worker has a few slots, so its side needs few descriptors, but must never be without: a quarter is its
+    # own, and each front is held to its share of the rest.
+    room = config.sockets - spare - extra
+    workers = max(room // 4, min(24, room // 2))
+    return workers, (room - workers) // (1 if config.gearman is None else 2), extra
 
 
 def read_fronts(config: Config, text: bytes) -> None:
@@ -75,6 +91,8 @@
     try:
         settings, _ = wire.settings(said.get("settings"))
         listen, where = _address(said.get("listen")), discovery.address(said.get("discovery"))
+        door = said.get("management")
+        management = _address(door) if door else None
         seed = int(str(said.get("seed") or "0"), 16)
         limits = said.get("limits") or {}
         sockets = int(limits.get("sockets") or 1024)
@@ -89,7 +107,18 @@
     if not memory_mb >= 16:
         raise ConfigError(f"limits.memory_mb: {memory_mb} is too little")
     name = str(said.get("name") or "eiderpin")
-    return Config(name, listen, where, seed, sockets, memory_mb, known, settings)
+    return Config(
+        name, listen, where, seed, sockets, memory_mb, known, settings, management=management
+    )
+
+
+def read_environment(config: Config) -> None:
+    """What the environment names counts before the file: each process may have a door of its own there."""
+    door = os.environ.get("GW_MANAGEMENT")
+    try:
+        config.management = _address(door) if door else config.management
+    except ValueError as error:
+        raise ConfigError(f"GW_MANAGEMENT: {error}") from None
 
 
 def _address(text: Any) -> tuple[str, int]:
@@ -99,7 +128,7 @@
 
 
 # What a replaced configuration changes at once; `seed` and `known` are for a start only.
-AT_ONCE = ("discovery", "seed", "known", "gearman", "agent_check")
+AT_ONCE = ("discovery", "seed", "known", "gearman", "agent_check", "management")
 
 
 class Service:
@@ -110,24 +139,24 @@
         self.clock, self.deadlines, self.counters = Clock(), Deadlines(), Counters()
         self.loop = Loop(self.clock, self.deadlines, self.counters)
         self.core = Dispatcher(config.settings, config.seed, self.clock, self.deadlines, self.counters)
-        # A worker has a few slots, so its side needs few descriptors, but must never be without: a quarter is
-        # its own, and each front is held to its share of the rest.
-        room = config.sockets - SPARE - EXTRA
-        workers = max(room // 4, min(24, room // 2))
-        fronts = (room - workers) // (1 if config.gearman is None else 2)
+        workers, fronts, extra = shares(config)
         memory = int(HELD_SHARE * config.memory_mb * (1 << 20))
         self.core.keeps_results = config.gearman is not None
         self.workers = HttpWorkers(self.loop, self.core, "service.internal", workers)
         self.gearman: GearmanFront | None = None
         self.agent_check: AgentCheck | None = None
+        self.management: Management | None = None
         try:
             self.edge = Edge(
-                self.loop, self.core, config.listen, self.workers.news, self.readiness, fronts, memory
+                self.loop, self.core, config.listen, self.workers.news, self.readiness, fronts, extra, memory
             )
             if config.gearman is not None:
                 self.gearman = GearmanFront(self.loop, self.core, config.gearman, config.name, fronts)
             if config.agent_check is not None:
                 self.agent_check = AgentCheck(self.loop, config.agent_check, self.readiness)
+            if config.management is not None:
+                calls = {"ready": self.ready}
+                self.management = Management(self.loop, self.counters, config.management, calls)
         except OSError as error:
             raise ConfigError(f"cannot listen: {error}") from None
         self.discovery = discovery.Discovery(
@@ -145,9 +174,15 @@
         most = min(self.edge.most, self.config.settings.most_held)
         return f"up {max(1, 100 - 100 * len(self.core.flows) // most)}%"
 
+    def ready(self) -> str:
+        """The operators' `ready`: whether this process can serve."""
+        state = self.readiness()
+        return f"ok {state}" if state.startswith("up") else f"fail {state}"
+
     def addresses(self) -> str:
         """Where we listen, for whoever started us with port 0."""
-        fronts = {"edge": self.edge, "gearman": self.gearman, "agent-check": self.agent_check}
+        fronts = {"edge": self.edge, "gearman": self.gearman, "agent-check": self.agent_check,
+                  "management": self.management}  # fmt: skip
         return " ".join(
             f"{name}={front.listener.address[0]}:{front.listener.address[1]}"
             for name, front in fronts.items()
@@ -233,6 +268,7 @@
     try:
         with open(path, "rb") as file:
             config = read_config(file.read())
+        read_environment(config)
         fronts = os.environ.get("EIDERPIN_FRONTS", FRONTS)
         if os.path.exists(fronts):
             with open(fronts, "rb") as file:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -531,10 +531,10 @@
         worker = HttpWorker("h1", never)
         with running([worker], limits={"sockets": 104}) as (program, _):
             host, port = program.edge.split(":")
-            held = [socket.create_connection((host, int(port)), timeout=20) for _ in range(30)]
+            held = [socket.create_connection((host, int(port)), timeout=20) for _ in range(60)]
             for i, sock in enumerate(held):
                 sock.sendall(b"POST /result-post HTTP/1.1\r\nReq-Id: b%d\r\nContent-Length: 0\r\n\r\n" % i)
-            wait_for(lambda: program.counters().get("in.flows") == 16, "the room to be taken")
+            wait_for(lambda: program.counters().get("in.flows") == 47, "the room to be taken")
             status, _, headers = http_call(program.edge, "POST", "/result-post", Req_Id="x")
             self.assertEqual(status, 503)
             self.assertTrue(0 < float(headers["retry-after"]) <= 2.0)
