Count each job once in the core, by class and end, and show it at the door

Before: 'answer.' counters without a class, and jobs turned down at the edge under none. Now one set, 'answer.CLASS.END', feeds show-stat and SIGUSR1. A request past the memory bound behind a job under way no longer has that job answered 503: it may have run (found in reading turn_down).

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import replace
+from typing import Any
 
 from eiderpin import decide
 from eiderpin import interface as api
@@ -48,6 +49,7 @@
         self._kept: OrderedDict[tuple[str, str], tuple[float, Answer, bool]] = OrderedDict()
         self._kept_bytes = 0
         self._wire_number = 0
+        self.outstanding = 0  # jobs taken and not ended
         self._events: list[api.Event] = []
         self._timers: dict[int, Deadline] = {}
 
@@ -90,6 +92,7 @@
         except TableFull:
             self._finish(flow, Answer(Verdict.TURNED_DOWN, wait=self.settings.max_wait_advice))
             return flow
+        self.outstanding += 1
         flow.backstop = self.deadlines.set(flow.deadline, lambda: self._overdue(flow))
         if flow.unique:
             self._by_unique[name] = flow
@@ -321,6 +324,23 @@
             self._events.append(api.RequestGone(flow.id))
             self._finish(flow, FAILED)
 
+    # -- the figures
+
+    def count_answer(self, cls: str, verdict: Verdict) -> None:
+        """Count one job's end. Fronts call it only for jobs that they refuse before there is a flow."""
+        self.counters.add(f"answer.{cls}.{verdict.value}")
+
+    def figures(self) -> dict[str, Any]:
+        """What on-call staff read: how the jobs of each class ended, and how things stand."""
+        counts, listed = self.counters.counts, [e for e in self.entries.values() if e.listed_now]
+        return {
+            "results": {c: {v.value: counts[f"answer.{c}.{v.value}"] for v in Verdict} for c in self.classes},
+            "forwards": counts["out.schedulings"],
+            "outstanding": self.outstanding,
+            "discovered": len(listed),
+            "ejected": len(self.module.avoided(self.clock.now()) & {e.name for e in listed}),
+        }
+
     # -- the end of a flow
 
     def _finish(self, flow: Flow, answer: Answer | None) -> None:
@@ -329,7 +349,11 @@
             return
         flow.ended = True
         self.deadlines.drop(flow.backstop)
-        self.counters.add(f"answer.{answer.verdict.value if answer else 'nobody'}")
+        self.outstanding -= flow.id >= 0
+        if answer is None:
+            self.counters.add("answer.nobody")
+        else:
+            self.count_answer(flow.cls, answer.verdict)
         answer = answer or FAILED
         if flow.unique and self._by_unique.get((flow.cls, flow.unique)) is flow:
             del self._by_unique[flow.cls, flow.unique]
--- a/eiderpin/core/flows.py
+++ b/eiderpin/core/flows.py
@@ -68,11 +68,11 @@
 
 
 class Verdict(Enum):
-    """What a final answer says."""
+    """What a final answer says; by these names it is counted."""
 
-    SERVED = "served"
-    TURNED_DOWN = "turned_down"
-    FAILED = "failed"
+    SERVED = "succeeded"
+    TURNED_DOWN = "declined"
+    FAILED = "aborted"
 
 
 @dataclass(slots=True, frozen=True)
--- a/eiderpin/core/schedulings.py
+++ b/eiderpin/core/schedulings.py
@@ -37,6 +37,10 @@
     def in_service(self) -> bool:
         return self.listed.state is WorkerState.IN_SERVICE
 
+    @property
+    def listed_now(self) -> bool:
+        return self.listed.state is not WorkerState.GONE
+
     def may_be_sent(self, now: float, grace: float) -> bool:
         """Whether a first byte may go out now: a drain's grace counts at the write, not at the decision."""
         return self.left_at is None or now <= self.left_at + grace
--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -1088,6 +1088,11 @@
 
     # -- what on-call staff may ask
 
+    def avoided(self, now: float) -> set[str]:
+        """The workers that are sent nothing now because attempts there failed."""
+        resting = (self.workers.get(name) for _, name in self.resting)
+        return {w.name for w in resting if w is not None and w.rest_until > now}
+
     def explain_worker(self, name: str) -> Facts:
         """Why a worker ranks as it does now; changes nothing."""
         worker = self.workers.get(name)
--- a/eiderpin/net/edge.py
+++ b/eiderpin/net/edge.py
@@ -99,7 +99,7 @@
             self.set_limit()
         if not self.front.may_hold(self):
             self.front.counters.add("in.over_memory")
-            self.turn_down()
+            self.over_memory()
             return
         if self.reader.expects_continue:
             self.reader.expects_continue = False
@@ -124,16 +124,25 @@
         keep = self.keep and not self.front.draining and not wrong
         self.conn.write(http.response(status, body, headers, close=not keep))
         if not keep:
-            self.close(linger=wrong or bool(self.waiting))
+            self.close(linger=wrong or bool(self.waiting) or self.conn.on_data != self.data)
             return
         self.front.may_hold(self)
         if self.waiting:
             self.next()
 
-    def turn_down(self) -> None:
-        """There is no room: what has been sent of a job is refused before anything is sent on for it."""
-        self.leave()
+    def over_memory(self) -> None:
+        """What has come cannot be held. A job under way is still answered; it may have run by now."""
+        self.conn.on_data = _ignore
+        target = self.waiting[0].target if self.waiting else self.reader.target
         self.waiting.clear()
+        self.keep = False
+        if not self.busy:
+            self.turn_down(self.front.class_of(target))
+
+    def turn_down(self, cls: str) -> None:
+        """There is no room: what has been sent of a job is refused before anything is sent on for it."""
+        if cls in self.front.core.classes:
+            self.front.core.count_answer(cls, Verdict.TURNED_DOWN)
         self.keep, self.busy = False, True
         self.answer(NO_FLOW, Answer(Verdict.TURNED_DOWN, wait=self.front.core.settings.max_wait_advice))
 
@@ -284,8 +293,7 @@
     # -- requests
 
     def serve(self, edge: EdgeConnection, message: http.Message) -> None:
-        path = message.path
-        first = path.split("/", 2)[1] if path.startswith("/") else ""
+        path, first = message.path, self.class_of(message.target)
         if path == "/_health":
             if message.method not in ("GET", "HEAD"):
                 edge.reply(405, headers=("Allow: GET, HEAD",))
@@ -307,12 +315,18 @@
         else:
             edge.reply(404, b"no such path\n")
 
+    @staticmethod
+    def class_of(target: bytes) -> str:
+        """The first part of a path, which names a job's class."""
+        parts = target.split(b"?", 1)[0].decode("latin-1").split("/", 2)
+        return parts[1] if len(parts) > 1 and not parts[0] else ""
+
     def take(self, edge: EdgeConnection, cls: str, message: http.Message) -> None:
         try:
             flow = make_flow(cls, message, self.loop.clock.now(), self.core.classes[cls].deadline)
             if sum(e.flow is not None for e in self.connections.all()) >= self.most:
                 self.counters.add("in.over_connections")
-                edge.turn_down()
+                edge.turn_down(cls)
                 return
             joined = self.core.submit(flow, edge)
         except ValueError as error:
@@ -329,6 +343,10 @@
             self.may_hold(edge)
 
 
+def _ignore(data: bytes) -> None:
+    """What cannot be held is dropped as it comes."""
+
+
 def _has_input(sock: socket.socket) -> bool:
     """Whether something has come that has not been read yet."""
     try:
--- a/eiderpin/net/http.py
+++ b/eiderpin/net/http.py
@@ -152,6 +152,11 @@
         """Bytes of a body that has not come whole."""
         return len(self._body)
 
+    @property
+    def target(self) -> bytes:
+        """Where the message that is coming is addressed; b"" where none is."""
+        return self._message.target if self._begun else b""
+
     def on_headers_complete(self) -> None:
         super().on_headers_complete()
         headers, version = self._message.headers, self._parser.get_http_version()
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -155,7 +155,7 @@
             if config.agent_check is not None:
                 self.agent_check = AgentCheck(self.loop, config.agent_check, self.readiness)
             if config.management is not None:
-                calls = {"ready": self.ready}
+                calls = {"ready": self.ready, "show-stat": self.show_stat}
                 self.management = Management(self.loop, self.counters, config.management, calls)
         except OSError as error:
             raise ConfigError(f"cannot listen: {error}") from None
@@ -179,6 +179,10 @@
         state = self.readiness()
         return f"ok {state}" if state.startswith("up") else f"fail {state}"
 
+    def show_stat(self) -> str:
+        """The operators' `show-stat`: the figures, then a line `eof`."""
+        return orjson.dumps(self.core.figures()).decode() + "\neof"
+
     def addresses(self) -> str:
         """Where we listen, for whoever started us with port 0."""
         fronts = {"edge": self.edge, "gearman": self.gearman, "agent-check": self.agent_check,
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -50,7 +50,7 @@
             self.assertEqual((seen_path, headers["req-id"], body), (path, "a1", b"\0body"))
             self.assertTrue(0 < int(headers["req-deadline-ms"]) <= 5000)
             counters = program.counters()
-            self.assertEqual((counters["answer.served"], counters["out.schedulings"]), (1, 1))
+            self.assertEqual((counters["answer.time-lookup.succeeded"], counters["out.schedulings"]), (1, 1))
 
     def test_bad_requests_get_their_status(self) -> None:
         head = b"POST /time-lookup HTTP/1.1\r\nHost: x\r\n"
@@ -432,7 +432,7 @@
             self.assertEqual({a[2].get("connection") for a in answers}, {"close"})
             self.assertEqual(program.process.wait(20), 0)
             program.reading.join(20)
-            self.assertIn("answer.served 2", program.lines)
+            self.assertIn("answer.result-post.succeeded 2", program.lines)
 
 
 class Reloading(unittest.TestCase):
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import socket
 import unittest
@@ -9,7 +10,7 @@
 from unittest import mock
 
 from eiderpin import service
-from tests.standins import SETTINGS, HttpWorker, running
+from tests.standins import SETTINGS, HttpWorker, http_call, running, wait_for
 
 DOOR = "127.0.0.1:0"
 
@@ -96,3 +97,71 @@
             service.read_environment(config)
         # The fewest descriptors that may be named still leave each side some.
         self.assertTrue(all(share >= 8 for share in service.shares(config)), service.shares(config))
+
+
+def figures(address: str) -> dict[str, Any]:
+    line, eof, end = call(address, b"show-stat\n").split("\n")
+    assert (eof, end) == ("eof", "")
+    said: dict[str, Any] = json.loads(line)
+    return said
+
+
+def act(worker: HttpWorker, rid: str, handler: Any) -> None:
+    """By the first letter of the id: run it, fail it, or take it and tell nothing."""
+    if rid[0] == "s":
+        worker.serve(rid, handler)
+        return
+    handler.say(202)
+    if rid[0] == "f":
+        worker.tell(rid, "failed")
+
+
+class Numbers(unittest.TestCase):
+    def test_each_job_counts_once_under_its_class_and_end(self) -> None:
+        with running([HttpWorker("h1", act)], management=DOOR, limits={"sockets": 96}) as (program, _):
+            door = program.at["management"]
+
+            def ask(cls: str, rid: str, **headers: str) -> int:
+                return http_call(program.edge, "POST", f"/{cls}", Req_Id=rid, **headers)[0]
+
+            asked = [ask("time-lookup", f"s{i}") for i in range(3)]
+            asked += [ask("result-post", "s9"), ask("result-post", "f1")]
+            asked += [ask("time-lookup", "n1", Req_Deadline_Ms="1"), ask("time-lookup", "", Req_Cost="x")]
+            self.assertEqual(asked, [200, 200, 200, 200, 500, 503, 400])
+            got = figures(door)
+            self.assertEqual(got["results"], {
+                "time-lookup": {"succeeded": 3, "declined": 1, "aborted": 0},
+                "result-post": {"succeeded": 1, "declined": 0, "aborted": 1},
+            })  # fmt: skip
+            self.assertEqual([got[k] for k in ("forwards", "outstanding", "discovered")], [5, 0, 1])
+            # Jobs that wait fill the room; those past it are turned down before there is a flow for them.
+            most = service.shares(service.read_config(json.dumps(program.said).encode()))[1]
+            held = [caller(program.edge) for _ in range(most)]
+            for i, sock in enumerate(held):
+                sock.sendall(b"POST /result-post HTTP/1.1\r\nReq-Id: w%d\r\nContent-Length: 0\r\n\r\n" % i)
+            wait_for(lambda: figures(door)["outstanding"] == most, "the room to be taken")
+            self.assertEqual(ask("time-lookup", "n2"), 503)
+            self.assertEqual(figures(door)["results"]["time-lookup"]["declined"], 2)
+            counters = program.counters()
+            self.assertEqual(counters["answer.time-lookup.declined"], 2)
+            for sock in held:
+                sock.close()
+            wait_for(lambda: figures(door)["outstanding"] == 0, "the jobs of clients that left to be dropped")
+
+    def test_a_worker_that_fails_is_ejected_and_one_that_is_gone_not_discovered(self) -> None:
+        workers = [HttpWorker(f"h{i}") for i in range(4)]
+        with running(workers, management=DOOR) as (program, discovery):
+            door = program.at["management"]
+            self.assertEqual([figures(door)[k] for k in ("discovered", "ejected")], [4, 0])
+            discovery.list("dead", 1)  # nobody listens there
+            wait_for(lambda: figures(door)["discovered"] == 5, "the list to come")
+            rids = iter(range(1000))
+
+            def ejected() -> bool:
+                http_call(program.edge, "POST", "/time-lookup", Req_Id=f"s{next(rids)}")
+                return bool(figures(door)["ejected"] == 1)
+
+            wait_for(ejected, "the dead worker to be avoided")
+            discovery.list("dead", 1, "Gone")
+            wait_for(lambda: figures(door)["discovered"] == 4, "it to leave the list")
+            self.assertEqual(figures(door)["ejected"], 0)
