Drain and resume at the operators' word, a state apart from SIGTERM's

Now the edge sends away nobody, clients or all; Service keeps the operators' word and SIGTERM apart.

--- a/eiderpin/net/edge.py
+++ b/eiderpin/net/edge.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import math
 import re
 import socket
 from collections import deque
 from collections.abc import Callable
+from enum import IntEnum
 
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher, IdTaken
@@ -25,15 +27,26 @@
 # An id goes on to workers in a header and in the target of a cancel.
 REQ_ID = re.compile(r"[A-Za-z0-9._~:@+=-]{1,128}")
 WHOLE = re.compile(r"[0-9]{1,12}")
+AWAY_EVERY = 200.0  # ms between looks for idle clients while they are sent away
+ON_ITS_WAY = 500.0  # ms in which the first request of a new connection must begin while clients are sent away
+HALF_SENT = 1400.0  # ms from the first such look, after which a request still half sent is turned down
 DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 
 
+class Away(IntEnum):
+    """Whom the edge sends away: their answers carry `Connection: close`, and idle they are closed."""
+
+    NOBODY = 0
+    CLIENTS = 1
+    ALL = 2  # those who bring call-backs, too
+
+
 class EdgeConnection:
     """The client's side of one connection; also workers call back over such a one."""
 
     __slots__ = (
         "front", "conn", "reader", "waiting", "flow", "last", "number", "keep", "busy", "served", "limit",
-        "held", "worked",
+        "held", "worked", "calls_back",
     )  # fmt: skip
 
     def __init__(self, front: Edge, conn: Connection) -> None:
@@ -42,6 +55,7 @@
         self.number = -1
         self.served = False  # it has had an answer: now and then it stands between requests
         self.worked = False  # it has brought a job or a call-back, and may bring more
+        self.calls_back = False  # the last that it brought was a call-back
         self.reader = http.RequestReader()
         self.waiting: deque[http.Message] = deque()
         self.flow: Flow | None = None
@@ -58,6 +72,10 @@
     def idle(self) -> bool:
         return not self.busy and not self.waiting and self.reader.idle and not self.conn.unsent
 
+    @property
+    def sent_away(self) -> bool:
+        return self.front.away > (Away.CLIENTS if self.calls_back else Away.NOBODY)
+
     def set_limit(self) -> None:
         deadlines = self.front.loop.deadlines
         deadlines.drop(self.limit)
@@ -99,7 +117,7 @@
             self.set_limit()
         if not self.front.may_hold(self):
             self.front.counters.add("in.over_memory")
-            self.over_memory()
+            self.refuse_more()
             return
         if self.reader.expects_continue:
             self.reader.expects_continue = False
@@ -113,7 +131,7 @@
     def next(self) -> None:
         while self.waiting and not self.busy and not self.conn.closed:
             message = self.waiting.popleft()
-            self.busy, self.keep = True, message.keep_alive and not self.front.draining
+            self.busy, self.keep = True, message.keep_alive
             self.front.serve(self, message)
 
     def reply(self, status: int, body: bytes = b"", headers: tuple[str, ...] = ()) -> None:
@@ -121,7 +139,7 @@
         self.last = self.front.loop.clock.now()
         # Who asks for what there is not is left no descriptor to stay on.
         wrong = 400 <= status < 500
-        keep = self.keep and not self.front.draining and not wrong
+        keep = self.keep and not self.sent_away and not wrong
         self.conn.write(http.response(status, body, headers, close=not keep))
         if not keep:
             self.close(linger=wrong or bool(self.waiting) or self.conn.on_data != self.data)
@@ -130,8 +148,8 @@
         if self.waiting:
             self.next()
 
-    def over_memory(self) -> None:
-        """What has come cannot be held. A job under way is still answered; it may have run by now."""
+    def refuse_more(self) -> None:
+        """Nothing more is taken here. A job under way is still answered; it may have run by now."""
         self.conn.on_data = _ignore
         target = self.waiting[0].target if self.waiting else self.reader.target
         self.waiting.clear()
@@ -217,7 +235,9 @@
         self.extra = extra  # connections past those, for call-backs and for those who say nothing
         self.memory, self.held = memory, 0  # bytes of requests that may be held, and are
         self.looked_at = 0.0  # when room was last made
-        self.draining = False
+        self.away = Away.NOBODY
+        self.away_at = math.inf  # when the first look for idle connections is, or was
+        self.away_look: Deadline | None = None
         self.connections: SlotTable[EdgeConnection] = SlotTable()
         self.listener = Listener(loop, address, self.taken, self.make_room)
         loop.deadlines.set(loop.clock.now() + SWEEP, self.sweep)
@@ -277,12 +297,30 @@
                 edge.end()
         self.loop.deadlines.set(now + SWEEP, self.sweep)
 
-    def drain(self) -> None:
-        """Stop keep-alive; the listener stays, for call-backs and for what the front still sends."""
-        self.draining = True
-        for edge in self.connections.all():
-            if edge.idle and edge.served:  # else its first request is on its way, and is answered
-                edge.close()
+    def send_away(self, whom: Away, after: float) -> None:
+        """Stop keep-alive with these, and from `after` ms on close the idle ones. The listener stays, for
+        call-backs and for what the front still sends."""
+        if whom is Away.NOBODY:
+            self.loop.deadlines.drop(self.away_look)
+            self.away, self.away_at = whom, math.inf
+        elif whom > self.away:
+            self.away = whom
+            self.away_at = min(self.away_at, self.loop.clock.now() + after)
+            self.look_for_idle()
+
+    def look_for_idle(self) -> None:
+        now = self.loop.clock.now()
+        self.loop.deadlines.drop(self.away_look)
+        if now >= self.away_at:
+            for edge in self.connections.all():
+                if not edge.sent_away or edge.conn.closing or _has_input(edge.conn.sock):
+                    continue
+                # The first request of a new connection is on its way, and is answered.
+                if edge.idle and (edge.served or now - edge.last > ON_ITS_WAY):
+                    edge.close()
+                elif now >= self.away_at + HALF_SENT and not edge.busy and not edge.reader.idle:
+                    edge.refuse_more()
+        self.away_look = self.loop.deadlines.set(max(now + AWAY_EVERY, self.away_at), self.look_for_idle)
 
     @property
     def quiet(self) -> bool:
@@ -305,7 +343,7 @@
             if message.method != "POST":
                 edge.reply(405, headers=("Allow: POST",))
             else:
-                edge.worked = True
+                edge.worked = edge.calls_back = True
                 edge.reply(self.news(message.body))
         elif first in self.core.classes:
             if message.method != "POST":
@@ -337,14 +375,14 @@
             self.counters.add("in.bad.409")
             edge.reply(409, b"this Req-Id is another request's\n")
             return
-        edge.worked = True
+        edge.worked, edge.calls_back = True, False
         if edge.busy and not joined.ended:
             edge.flow = joined
             self.may_hold(edge)
 
 
 def _ignore(data: bytes) -> None:
-    """What cannot be held is dropped as it comes."""
+    """What is not taken is dropped as it comes."""
 
 
 def _has_input(sock: socket.socket) -> bool:
--- a/eiderpin/net/gearman_front.py
+++ b/eiderpin/net/gearman_front.py
@@ -25,6 +25,8 @@
 GRAB_WAIT = 1000.0  # ms in which a worker must grab what was placed on it
 MOST_OPEN = 1024  # jobs that one client connection may wait for
 MOST_PLACED = 2  # jobs placed on one worker connection, running ones included: it runs one at a time
+AWAY_EVERY = 200.0  # ms between looks for idle clients while they are sent away
+QUIET = 150.0  # ms without a packet after which a client is idle
 VERSION = "0.1.0"
 
 # priority, background
@@ -85,6 +87,7 @@
     def __init__(self, front: GearmanFront, conn: Connection) -> None:
         self.front, self.conn, self.core = front, conn, front.core
         self.number = -1
+        self.last = front.loop.clock.now()
         self.reader = Reader()
         self.client_id = "-"
         self.wants_exceptions = False
@@ -106,6 +109,7 @@
         self.put(Kind.ERROR, code.encode(), text.encode())
 
     def data(self, data: bytes) -> None:
+        self.last = self.front.loop.clock.now()
         for item in self.reader.feed(data):
             if self.conn.closed:
                 return
@@ -337,6 +341,7 @@
         self.most = most
         self.connections: SlotTable[GearmanConnection] = SlotTable()
         self._workers = 0
+        self._away: Deadline | None = None  # the next look for idle clients, while they are sent away
         self._kept = 0
         self.listener = Listener(loop, address, self.taken)
 
@@ -349,6 +354,24 @@
         connection = GearmanConnection(self, conn)
         connection.number = self.connections.add(connection)
 
+    def send_away(self, away: bool, after: float) -> None:
+        """Whether idle clients are closed, `after` ms from now and again and again. Workers stay, and so do
+        clients whose jobs are under way: the protocol has no word for them."""
+        if not away:
+            self.loop.deadlines.drop(self._away)
+            self._away = None
+        elif self._away is None:
+            self._away = self.loop.deadlines.set(self.loop.clock.now() + after, self.look_for_idle)
+
+    def look_for_idle(self) -> None:
+        now = self.loop.clock.now()
+        for c in self.connections.all():
+            works = c.entry is not None or c.abilities or c.running
+            if not works and not c.open and not c.conn.unsent and now - c.last > QUIET:
+                c.end()
+                c.conn.close()
+        self._away = self.loop.deadlines.set(now + AWAY_EVERY, self.look_for_idle)
+
     def next_worker(self) -> int:
         self._workers += 1
         return self._workers
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -18,13 +18,14 @@
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.net import discovery
 from eiderpin.net.agent_check import MOST_OPEN, AgentCheck
-from eiderpin.net.edge import Edge
+from eiderpin.net.edge import Away, Edge
 from eiderpin.net.gearman_front import GearmanFront
 from eiderpin.net.loop import Loop
 from eiderpin.net.management import MOST_CALLERS, Management
 from eiderpin.net.workers import HttpWorkers
 
 LINGER = 600.0  # ms after SIGTERM in which new connections may still come
+SETTLE = 400.0  # ms after a drain in which the front may still send new clients: idle ones are not yet closed
 OWN = 16  # descriptors for standard streams, signals, listeners, discovery and chance
 FEW_SOCKETS = 96  # fewer cannot be shared out
 EXTRA, EXTRA_SHARE = 48, 1 / 6  # edge connections past those that wait for jobs: so many, or this share
@@ -155,19 +156,21 @@
             if config.agent_check is not None:
                 self.agent_check = AgentCheck(self.loop, config.agent_check, self.readiness)
             if config.management is not None:
-                calls = {"ready": self.ready, "show-stat": self.show_stat}
+                calls = {"ready": self.ready, "show-stat": self.show_stat,
+                         "drain": self.drain, "resume": self.resume}  # fmt: skip
                 self.management = Management(self.loop, self.counters, config.management, calls)
         except OSError as error:
             raise ConfigError(f"cannot listen: {error}") from None
         self.discovery = discovery.Discovery(
             self.loop, self.core, self.workers, config.discovery, config.known
         )
-        self.draining_since: float | None = None
+        self.drained = False  # by the operators' word
+        self.stopping_since: float | None = None  # since SIGTERM
 
     def readiness(self) -> str:
         """What balancers in front are told, in the words of HAProxy's agent-check: whether new work is
         welcome, and the share of what we can hold that is free."""
-        if self.draining_since is not None:
+        if self.drained or self.stopping_since is not None:
             return "drain"
         if not any(e.in_service for e in self.core.entries.values()):
             return "down"
@@ -175,9 +178,10 @@
         return f"up {max(1, 100 - 100 * len(self.core.flows) // most)}%"
 
     def ready(self) -> str:
-        """The operators' `ready`: whether this process can serve."""
+        """The operators' `ready`: whether this process can serve; one that they drained still can."""
         state = self.readiness()
-        return f"ok {state}" if state.startswith("up") else f"fail {state}"
+        can = self.stopping_since is None and state != "down"
+        return f"ok {state}" if can else f"fail {state}"
 
     def show_stat(self) -> str:
         """The operators' `show-stat`: the figures, then a line `eof`."""
@@ -195,9 +199,26 @@
 
     def stop(self) -> None:
         """Begin the planned end: serve what comes, and end once all is answered."""
-        if self.draining_since is None:
-            self.draining_since = self.clock.now()
-            self.edge.drain()
+        if self.stopping_since is None:
+            self.stopping_since = self.clock.now()
+            self.edge.send_away(Away.ALL, 0.0)
+
+    def drain(self) -> str:
+        """The operators' `drain`: send clients away, until `resume`."""
+        self.drained = True
+        self.edge.send_away(Away.CLIENTS, SETTLE)
+        if self.gearman is not None:
+            self.gearman.send_away(True, SETTLE)
+        return "ok drained"
+
+    def resume(self) -> str:
+        if self.stopping_since is not None:
+            return "fail it has been told to end"
+        self.drained = False
+        self.edge.send_away(Away.NOBODY, 0.0)
+        if self.gearman is not None:
+            self.gearman.send_away(False, 0.0)
+        return "ok back to work"
 
     def reload(self) -> None:
         """Read the configuration's file again. One that cannot be used changes nothing, and is told of in one
@@ -219,7 +240,7 @@
             print(text, file=sys.stderr, flush=True)
 
     def over(self) -> bool:
-        if self.draining_since is None or self.clock.now() < self.draining_since + LINGER:
+        if self.stopping_since is None or self.clock.now() < self.stopping_since + LINGER:
             return False
         if any(not f.ended for f in self.core.flows.all()) or not self.edge.quiet:
             return False
@@ -231,7 +252,7 @@
 
     def turn(self) -> None:
         """One turn of the loop."""
-        longest = 1000.0 if self.draining_since is None else 20.0
+        longest = 1000.0 if self.stopping_since is None else 20.0
         self.loop.once(self.core.decide, longest)
 
     def run(self) -> None:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -4,13 +4,16 @@
 
 import json
 import os
+import signal
 import socket
+import threading
 import unittest
 from typing import Any
 from unittest import mock
 
 from eiderpin import service
-from tests.standins import SETTINGS, HttpWorker, http_call, running, wait_for
+from eiderpin.net.gearman import Kind
+from tests.standins import SETTINGS, GearmanPeer, HttpWorker, Program, http_call, running, wait_for
 
 DOOR = "127.0.0.1:0"
 
@@ -165,3 +168,98 @@
             discovery.list("dead", 1, "Gone")
             wait_for(lambda: figures(door)["discovered"] == 4, "it to leave the list")
             self.assertEqual(figures(door)["ejected"], 0)
+
+
+ASK = b"POST /time-lookup HTTP/1.1\r\nReq-Id: %b\r\nContent-Length: 0\r\n\r\n"
+
+
+def answer(sock: socket.socket) -> bytes:
+    """One whole answer, of a connection that may stay open."""
+    got, length = b"", 0
+    while b"\r\n\r\n" not in got or len(got.partition(b"\r\n\r\n")[2]) < length:
+        got += sock.recv(65536)
+        length = int(got.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0] or 0)
+    return got
+
+
+def health(program: Program) -> bytes:
+    return http_call(program.edge, "GET", "/_health")[1]
+
+
+class Drains(unittest.TestCase):
+    def test_a_drain_sends_clients_away_and_resume_undoes_it(self) -> None:
+        go = threading.Event()
+
+        def later(worker: HttpWorker, rid: str, handler: Any) -> None:
+            if rid.startswith("q"):
+                worker.serve(rid, handler)
+                return
+            handler.say(202)
+            threading.Thread(target=lambda: (go.wait(20), worker.tell(rid, "done", result="r"))).start()
+
+        worker = HttpWorker("h1", later)
+        with running([worker], management=DOOR, fronts=("agent_check",)) as (program, _):
+            door = program.at["management"]
+            kept, fresh, half, busy, calls = (caller(program.edge) for _ in range(5))
+            kept.sendall(ASK % b"q1")
+            self.assertNotIn(b"Connection: close", answer(kept))
+            half.sendall(ASK[:30])
+            busy.sendall(ASK % b"slow1")
+            news = b'{"id":"nobody","from":"h1","state":"started"}'
+            callback = b"POST /_jobs/news HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(news) + news
+            calls.sendall(callback)
+            answer(calls)
+            wait_for(lambda: len(worker.seen) == 2, "the slow job to be out")
+            for _ in range(2):
+                self.assertTrue(call(door, b"drain\n").startswith("ok"))
+            self.assertEqual((health(program), rest(caller(program.at["agent-check"]))), (b"drain\n",) * 2)
+            self.assertTrue(call(door, b"ready\n").startswith("ok"))
+            status, _, headers = http_call(program.edge, "POST", "/time-lookup", Req_Id="q2")
+            self.assertEqual((status, headers.get("connection")), (200, "close"))
+            # Used or never used, an idle connection ends; a job that is half sent is turned down.
+            self.assertEqual((rest(kept), rest(fresh)), (b"", b""))
+            self.assertTrue(rest(half).startswith(b"HTTP/1.1 503 "))
+            calls.sendall(callback)
+            self.assertNotIn(b"Connection: close", answer(calls))
+            go.set()
+            self.assertRegex(rest(busy), rb"(?s)HTTP/1.1 200 .*Connection: close.*\r\n\r\nr$")
+            for _ in range(2):
+                self.assertTrue(call(door, b"resume\n").startswith("ok"))
+            self.assertRegex(health(program), rb"^up ")
+            again = caller(program.edge)
+            for rid in (b"q3", b"q4"):
+                again.sendall(ASK % rid)
+                self.assertNotIn(b"Connection: close", answer(again))
+            for sock in (kept, fresh, half, busy, calls, again):
+                sock.close()
+
+    def test_sighup_leaves_a_drain_and_after_sigterm_there_is_no_way_back(self) -> None:
+        with running([HttpWorker("h1")], management=DOOR) as (program, _):
+            door = program.at["management"]
+            call(door, b"drain\n")
+            program.hang_up()
+            wait_for(lambda: program.counters().get("in.reloads"), "the configuration to be read again")
+            self.assertEqual(health(program), b"drain\n")
+            call(door, b"resume\n")
+            program.process.send_signal(signal.SIGTERM)
+            wait_for(lambda: health(program) == b"drain\n", "the end to begin")
+            self.assertEqual([call(door, line)[:4] for line in (b"drain\n", b"resume\n", b"ready\n")],
+                             ["ok d", "fail", "fail"])  # fmt: skip
+            self.assertEqual(health(program), b"drain\n")
+
+    def test_idle_gearman_clients_are_sent_away_and_workers_stay(self) -> None:
+        with running([], management=DOOR, fronts=("gearman",)) as (program, _):
+            client, waiting, worker = (GearmanPeer(program.at["gearman"]) for _ in range(3))
+            worker.put(Kind.CAN_DO, b"time-lookup")
+            self.assertEqual(client.ask(Kind.ECHO_REQ, b"x").kind, Kind.ECHO_RES)
+            self.assertEqual(waiting.ask(Kind.SUBMIT_JOB, b"time-lookup", b"u", b"").kind, Kind.JOB_CREATED)
+            call(program.at["management"], b"drain\n")
+            with self.assertRaises(EOFError):
+                client.get()
+            job = worker.ask(Kind.GRAB_JOB)
+            while job.kind is Kind.NO_JOB:
+                job = worker.ask(Kind.GRAB_JOB)
+            worker.put(Kind.WORK_COMPLETE, job.args[0], b"done")
+            self.assertEqual(waiting.until(Kind.WORK_COMPLETE).args[1], b"done")
+            for peer in (client, waiting, worker):
+                peer.close()
