--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -49,6 +49,7 @@
         self._kept: OrderedDict[tuple[str, str], tuple[float, Answer, bool]] = OrderedDict()
         self._kept_bytes = 0
         self._wire_number = 0
+        self.ids_beside: set[str] = set()  # of jobs under way in the process beside us
         self.outstanding = 0  # jobs taken and not ended
         self._events: list[api.Event] = []
         self._timers: dict[int, Deadline] = {}
@@ -70,7 +71,7 @@
             if kept is not None and kept[0] <= now:
                 kept = None
             taken = open_flow.once if open_flow is not None else kept is not None and kept[2]
-            elsewhere = open_flow is None and flow.unique in self._by_wire
+            elsewhere = open_flow is None and flow.unique in self._by_wire or flow.unique in self.ids_beside
             if flow.once and (taken or elsewhere):
                 raise IdTaken
             if open_flow is not None:
@@ -237,6 +238,10 @@
     def probed(self, entry: ServiceEntry, ok: bool, elapsed: float) -> None:
         self._events.append(api.ProbeEnded(entry.name, ok, elapsed))
 
+    def told_beside(self, beside: api.Beside) -> None:
+        """What the process beside us, an older or a newer one, holds."""
+        self._events.append(beside)
+
     def flow_of(self, wire_id: str) -> Flow | None:
         return self._by_wire.get(wire_id)
 
--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -19,6 +19,7 @@
 from eiderpin.interface import (
     Action,
     AttemptEnded,
+    Beside,
     Cancel,
     Event,
     Facts,
@@ -142,6 +143,7 @@
         "name", "zone", "shape", "shape_name", "cell", "rating", "size", "born", "state", "ready", "out",
         "ours", "others", "others_at", "slow", "slow_at", "pace", "failures", "trial", "rest_until",
         "cold_until", "cold_spent", "pools", "ended", "classes", "known_slots", "heard", "shuns",
+        "beside", "beside_cold",
     )  # fmt: skip
 
     def __init__(self, entry: WorkerEntry, shape: Shape) -> None:
@@ -170,6 +172,7 @@
         self.heard = -math.inf  # when it last told of anything
         self.shuns: dict[str, tuple[float, int]] = {}  # classes not sent to it: until when, times in a row
         self.ended: list[tuple[float, float, float]] = []  # (sent, ended, slots) of ours, lately
+        self.beside = self.beside_cold = 0.0  # slots, and cold slot time, of the process beside us
 
 
 class Pool:
@@ -388,6 +391,7 @@
             ProbeEnded: self.on_probed,
             TimerFired: self.on_timer,
             PeerMessage: self.on_peer,
+            Beside: self.on_beside,
         }
 
     def handle(self, now: float, events: Iterable[Event]) -> list[Action]:
@@ -574,13 +578,15 @@
             return
         settled = self.now - SETTLED
         running = sum(a.job.need for a in worker.out.values() if 0 <= a.started <= settled)
-        slots = self.slots(worker)
-        if running > slots:
-            worker.shape.slots = running
-            worker.shape.misses = 0
-            grown = [w for w in self.workers.values() if w.shape is worker.shape]
-            in_service = sum(w.state is WorkerState.IN_SERVICE for w in grown)
-            self.slots_in_service += in_service * (running - slots)
+        if running > self.slots(worker):
+            self.set_slots(worker.shape, running)
+
+    def set_slots(self, shape: Shape, slots: float) -> None:
+        serving = [w for w in self.workers.values() if w.state is WorkerState.IN_SERVICE]
+        of_shape = [w for w in serving if w.shape is shape]
+        before = sum(self.slots(w) for w in of_shape)
+        shape.slots, shape.misses = slots, 0
+        self.slots_in_service += sum(self.slots(w) for w in of_shape) - before
 
     def warmth(self, worker: Worker) -> float:
         """The share of its capacity that a worker has at least: it warms no slower than evenly."""
@@ -607,7 +613,11 @@
         return slow
 
     def others(self, worker: Worker) -> float:
-        """Slots that other dispatchers hold there: last seen, fading into the fleet's mean."""
+        """Slots that others hold there: what the process beside us told, and what other dispatchers hold."""
+        return worker.beside + self.elsewhere(worker)
+
+    def elsewhere(self, worker: Worker) -> float:
+        """What other dispatchers hold there: last seen, fading into the fleet's mean."""
         slots = self.slots(worker)
         if self.seen >= 0:
             mean = self.seen * slots
@@ -632,7 +642,7 @@
         if worker.ended:
             worker.ended = [x for x in worker.ended if x[1] > self.now - REPORT_AGE]
             ours += sum(need for sent, ended, need in worker.ended if sent <= then < ended)
-        worker.others = max(0.0, held - ours)
+        worker.others = max(0.0, held - ours - worker.beside)
         worker.others_at = then
         if age > 0:
             share = worker.others / self.slots(worker)
@@ -712,7 +722,7 @@
         if rank >= holders:
             return False
         spent = worker.cold_spent = [x for x in worker.cold_spent if x[0] > self.now - window]
-        return sum(c for _, c in spent) + cost <= budget / holders
+        return sum(c for _, c in spent) + worker.beside_cold + cost <= budget / holders
 
     def expected_run(self, worker: Worker, job: Job) -> float:
         """Run time of a job on this worker when warm."""
@@ -984,6 +994,31 @@
             if job is not None and not job.streaming:
                 self.answer(job)
 
+    # -- an old version and a new one, side by side
+
+    def on_beside(self, event: Beside) -> None:
+        """Both act as one instance: what the other has committed takes room here as our own does. What it
+        held at its end runs on, and fades as others' load does."""
+        for worker in self.workers.values():
+            if event.gone and worker.beside > 0:
+                worker.others, worker.others_at = self.others(worker), self.now
+            worker.beside, worker.beside_cold = event.holds.get(worker.name, (0.0, 0.0))
+        for name, (slots, slow) in event.shapes.items():
+            shape = self.shapes.get(name)
+            if shape is not None and not shape.slots and shape.pace.work <= 0:
+                # We have seen no run on it yet, so what the other has learned is better than a guess.
+                self.set_slots(shape, slots)
+                shape.slow = slow
+
+    def beside(self) -> Beside:
+        """What the process beside us has to know."""
+        holds, since = {}, self.now - self.s.cold_window
+        for worker in self.workers.values():
+            cold = sum(c for at, c in worker.cold_spent if at > since) if worker.cold_spent else 0.0
+            if worker.ours > 0 or cold > 0:
+                holds[worker.name] = (worker.ours, cold)
+        return Beside(holds, {n: (s.slots, s.slow) for n, s in self.shapes.items() if s.slots > 0})
+
     # -- health
 
     def judge(self, attempt: Attempt, event: AttemptEnded) -> None:
--- a/eiderpin/interface.py
+++ b/eiderpin/interface.py
@@ -261,6 +261,18 @@
     report: Report | None = None
 
 
+@dataclass(slots=True)
+class Beside:
+    """What another process holds that stands in for the same instance (an old version and a new one): by
+    worker the slots that it has committed, and the slot time that it has sent there while the worker was cold
+    and still counts; by shape the slots and the slowness that it has learned. It replaces what was told
+    before. `gone`: that process has ended, and what it held may still run."""
+
+    holds: dict[str, tuple[float, float]] = field(default_factory=dict)
+    shapes: dict[str, tuple[float, float]] = field(default_factory=dict)
+    gone: bool = False
+
+
 @dataclass(slots=True)
 class TimerFired:
     handle: int
@@ -274,7 +286,7 @@
 
 Event: TypeAlias = (
     Membership | Request | Progress | StreamStarted | AttemptEnded | RequestGone | ProbeEnded | TimerFired
-    | PeerMessage
+    | PeerMessage | Beside
 )  # fmt: skip
 
 
--- a/eiderpin/net/agent_check.py
+++ b/eiderpin/net/agent_check.py
@@ -10,10 +10,12 @@
 
 
 class AgentCheck:
-    def __init__(self, loop: Loop, address: tuple[str, int], readiness: Callable[[], str]) -> None:
+    def __init__(
+        self, loop: Loop, address: tuple[str, int], readiness: Callable[[], str], shared: bool = False
+    ) -> None:
         self.readiness = readiness
         self.open: list[Connection] = []
-        self.listener = Listener(loop, address, self.taken)
+        self.listener = Listener(loop, address, self.taken, on=not shared, shared=shared)
 
     def taken(self, conn: Connection) -> None:
         """Some balancers send a line of their own first; it is not needed, and not waited for."""
--- a/eiderpin/net/edge.py
+++ b/eiderpin/net/edge.py
@@ -136,6 +136,8 @@
 
     def reply(self, status: int, body: bytes = b"", headers: tuple[str, ...] = ()) -> None:
         self.busy, self.served, self.flow = False, True, None
+        if self.conn.closed:
+            return
         self.last = self.front.loop.clock.now()
         # Who asks for what there is not is left no descriptor to stay on.
         wrong = 400 <= status < 500
@@ -222,12 +224,13 @@
         self,
         loop: Loop,
         core: Dispatcher,
-        address: tuple[str, int],
-        news: Callable[[bytes], int],
+        where: tuple[str, int] | socket.socket,
+        news: Callable[[bytes, Callable[[int], None]], None],
         ready: Callable[[], str],
         most: int,
         extra: int,
         memory: int,
+        on: bool = True,
     ) -> None:
         self.loop, self.core, self.counters = loop, core, core.counters
         self.news, self.ready = news, ready
@@ -239,7 +242,7 @@
         self.away_at = math.inf  # when the first look for idle connections is, or was
         self.away_look: Deadline | None = None
         self.connections: SlotTable[EdgeConnection] = SlotTable()
-        self.listener = Listener(loop, address, self.taken, self.make_room)
+        self.listener = Listener(loop, where, self.taken, self.make_room, on)
         loop.deadlines.set(loop.clock.now() + SWEEP, self.sweep)
 
     def taken(self, conn: Connection) -> None:
@@ -300,11 +303,13 @@
     def send_away(self, whom: Away, after: float) -> None:
         """Stop keep-alive with these, and from `after` ms on close the idle ones. The listener stays, for
         call-backs and for what the front still sends."""
+        if whom is self.away:
+            return
+        self.away = whom
         if whom is Away.NOBODY:
             self.loop.deadlines.drop(self.away_look)
-            self.away, self.away_at = whom, math.inf
-        elif whom > self.away:
-            self.away = whom
+            self.away_at = math.inf
+        else:
             self.away_at = min(self.away_at, self.loop.clock.now() + after)
             self.look_for_idle()
 
@@ -344,7 +349,7 @@
                 edge.reply(405, headers=("Allow: POST",))
             else:
                 edge.worked = edge.calls_back = True
-                edge.reply(self.news(message.body))
+                self.news(message.body, edge.reply)
         elif first in self.core.classes:
             if message.method != "POST":
                 edge.reply(405, headers=("Allow: POST",))
--- a/eiderpin/net/gearman_front.py
+++ b/eiderpin/net/gearman_front.py
@@ -336,14 +336,17 @@
 class GearmanFront:
     """The listener of Gearman clients and workers; also the link to those workers."""
 
-    def __init__(self, loop: Loop, core: Dispatcher, address: tuple[str, int], name: str, most: int) -> None:
+    def __init__(
+        self, loop: Loop, core: Dispatcher, address: tuple[str, int], name: str, most: int,
+        shared: bool = False,
+    ) -> None:  # fmt: skip
         self.loop, self.core, self.name = loop, core, name
         self.most = most
         self.connections: SlotTable[GearmanConnection] = SlotTable()
         self._workers = 0
         self._away: Deadline | None = None  # the next look for idle clients, while they are sent away
         self._kept = 0
-        self.listener = Listener(loop, address, self.taken)
+        self.listener = Listener(loop, address, self.taken, on=not shared, shared=shared)
 
     def taken(self, conn: Connection) -> None:
         self.core.counters.add("in.gearman_connections")
--- /dev/null
+++ b/eiderpin/net/handover.py
@@ -0,0 +1,272 @@
+"""An old and a new process side by side: a Unix socket between them, one JSON line a message.
+
+The new process connects to its predecessor's socket. What they say, either way but for `serving`:
+
+    {"hello": 1, "ids": [...]}      first of all; the ids of jobs under way
+    {"serving": true}               the new one accepts clients from now on; the old one stops
+    {"state": {...}}                what I hold: on workers, of descriptors; and my readiness
+    {"news": {...}, "ask": 7}       a worker's call-back of an id that I do not know
+    {"told": 7}                     it has been taken, or nobody here knows that id either
+
+A link that breaks, falls silent or talks nonsense ends; each side then serves as if it were alone.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import functools
+import os
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+
+from eiderpin import interface as api
+from eiderpin.core.deadlines import Deadline
+from eiderpin.core.dispatcher import Dispatcher
+from eiderpin.net.loop import Connection, Listener, Loop
+
+HELLO_WITHIN = 1000.0  # ms; who is silent longer at first is no process of ours
+TELL_EVERY = 50.0  # ms between looks at what has to be told
+SILENCE = 3000.0  # ms without a word after which the other is taken to be stuck
+BEAT = 500.0  # ms after which the state is told again though nothing has changed
+NEWS_WITHIN = 500.0  # ms in which the other must take a call-back; else its worker is asked to say it again
+MOST_LINE = 4 << 20
+MOST_IDS = 20_000
+MOST_STRANGERS = 4  # connections that have not said hello
+
+Reply = Callable[[int], None]
+
+
+class Link:
+    """One connection to the process beside us."""
+
+    def __init__(self, handover: Handover, conn: Connection, older: bool) -> None:
+        self.handover, self.conn, self.loop = handover, conn, handover.loop
+        self.older = older  # the other end is the older process
+        self.greeted = False
+        self.serving = False  # the newer one there accepts clients
+        self.readiness = ""
+        self.sockets = 0  # descriptors that it uses
+        self.line = bytearray()
+        self.last_told: dict[str, Any] = {}
+        self.told_at = 0.0
+        self.asked: dict[int, tuple[Reply, Deadline]] = {}
+        self.limit = self.loop.deadlines.set(self.loop.clock.now() + HELLO_WITHIN, self.end)
+        self.look: Deadline | None = None
+        conn.on_data, conn.on_end = self.data, self.end
+        self.put({"hello": 1, "ids": [f.unique for f in handover.core.flows.all() if not f.ended][:MOST_IDS]})
+
+    def put(self, message: dict[str, Any]) -> None:
+        self.conn.write(orjson.dumps(message) + b"\n")
+
+    def data(self, data: bytes) -> None:
+        deadlines = self.loop.deadlines
+        deadlines.drop(self.limit)
+        self.limit = deadlines.set(self.loop.clock.now() + SILENCE, self.end)
+        self.line += data
+        *lines, rest = self.line.split(b"\n")
+        self.line = rest
+        try:
+            if len(rest) > MOST_LINE:
+                raise ValueError("a line without end")
+            for line in lines:
+                if not self.conn.closed:
+                    self.heard(orjson.loads(line))
+        except (ValueError, TypeError, KeyError, AttributeError):
+            self.handover.core.counters.add("in.link_bad")
+            self.end()
+
+    def heard(self, said: dict[str, Any]) -> None:
+        if not self.greeted:
+            if said["hello"] != 1:
+                raise ValueError("another version of this protocol")
+            ids = {str(i) for i in said["ids"]}
+            self.greeted = True
+            self.handover.greeted(self, ids)
+            self.tell()
+        elif "state" in said:
+            state = said["state"]
+            holds = {str(w): (float(a), float(b)) for w, (a, b) in state["holds"].items()}
+            shapes = {str(n): (float(a), float(b)) for n, (a, b) in state["shapes"].items()}
+            if not all(x >= 0 for pair in (*holds.values(), *shapes.values()) for x in pair):
+                raise ValueError("what is held is no less than nothing")
+            self.sockets, self.readiness = int(state["sockets"]), str(state["readiness"])
+            self.handover.core.told_beside(api.Beside(holds, shapes))
+            self.handover.changed()
+        elif "serving" in said:
+            self.serving = True
+            self.handover.changed()
+        elif "news" in said:
+            ask = int(said["ask"])
+            self.handover.news_heard(self, said["news"], lambda status: self.put({"told": ask}))
+        elif "told" in said:
+            reply, limit = self.asked.pop(int(said["told"]), (None, None))
+            self.loop.deadlines.drop(limit)
+            if reply is not None:
+                reply(204)
+        else:
+            raise ValueError("no such message")
+
+    def ask(self, number: int, news: dict[str, Any], reply: Reply) -> None:
+        """Pass a call-back on; it is answered once it has been taken."""
+
+        def too_late() -> None:
+            self.asked.pop(number, None)
+            reply(503)  # its worker will say it again
+
+        limit = self.loop.deadlines.set(self.loop.clock.now() + NEWS_WITHIN, too_late)
+        self.asked[number] = (reply, limit)
+        self.put({"news": news, "ask": number})
+
+    def tell(self) -> None:
+        """Tell what we hold, where it has changed or was told long ago."""
+        now, state = self.loop.clock.now(), self.handover.state()
+        if state != self.last_told or now > self.told_at + BEAT:
+            self.last_told, self.told_at = state, now
+            self.put({"state": state})
+        self.look = self.loop.deadlines.set(now + TELL_EVERY, self.tell)
+
+    def end(self) -> None:
+        self.loop.deadlines.drop(self.limit)
+        self.loop.deadlines.drop(self.look)
+        self.conn.close()
+        asked, self.asked = self.asked, {}
+        for reply, limit in asked.values():
+            self.loop.deadlines.drop(limit)
+            reply(503)
+        self.handover.ended(self)
+
+
+class Handover:
+    """Knows the process that came before us and the one that comes after."""
+
+    def __init__(
+        self, loop: Loop, core: Dispatcher, path: str, taken: Callable[[dict[str, Any]], bool],
+        state: Callable[[], dict[str, Any]], changed: Callable[[], None],
+    ) -> None:  # fmt: skip
+        self.loop, self.core, self.path = loop, core, path
+        self.taken = taken  # whether a call-back is of an id that we know
+        self.state, self.changed = state, changed
+        self.older: Link | None = None
+        self.newer: Link | None = None
+        self.strangers: list[Link] = []
+        self.asks = 0
+        self.listener: Listener | None = None
+        conn = loop.connect(_short(path))
+        if conn is not None:
+            self.older = Link(self, conn, older=True)
+
+    @property
+    def handed_over(self) -> bool:
+        """A newer process takes the clients."""
+        return self.newer is not None and self.newer.serving
+
+    def serve(self) -> None:
+        """We accept clients: whoever comes after us finds us, and our predecessor may go."""
+        self.publish()
+        if self.older is not None:
+            self.older.put({"state": self.state()})  # our readiness is passed on from now on
+            self.older.put({"serving": True})
+
+    def publish(self) -> None:
+        """Put our socket where the next process looks for it; by a rename, so that there always is one."""
+        own = f"{self.path}.{os.getpid()}"
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        try:
+            with contextlib.suppress(FileNotFoundError):
+                os.unlink(own)  # of a killed process that had our number
+            sock.bind(_short(own))
+            sock.listen(8)
+            os.rename(own, self.path)
+        except OSError:
+            sock.close()
+            self.core.counters.add("out.link_unpublished")  # we serve, but the next process will not find us
+            return
+        if self.listener is not None:
+            self.listener.close()
+        self.listener = Listener(self.loop, sock, self.met)
+
+    def met(self, conn: Connection) -> None:
+        if len(self.strangers) >= MOST_STRANGERS:
+            conn.close()
+            return
+        self.strangers.append(Link(self, conn, older=False))
+
+    def greeted(self, link: Link, ids: set[str]) -> None:
+        if link in self.strangers:
+            self.strangers.remove(link)
+            if self.newer is not None:
+                link.end()
+                return
+            self.newer = link
+        self.core.ids_beside |= ids
+        self.changed()
+
+    def ended(self, link: Link) -> None:
+        if link in self.strangers:
+            self.strangers.remove(link)
+            return
+        if link is self.older:
+            self.older = None
+        elif link is self.newer:
+            self.newer = None
+            if link.serving and not _answers(self.path):
+                self.publish()  # its file is no use any more
+        else:
+            return
+        if self.older is None and self.newer is None:
+            self.core.ids_beside.clear()
+        self.core.told_beside(api.Beside(gone=True))
+        self.changed()
+
+    def pass_on(self, news: dict[str, Any], reply: Reply) -> None:
+        """A call-back of an id that we do not know: it may be the other's. Always answered."""
+        links = [link for link in (self.older, self.newer) if link is not None and link.greeted]
+        self._pass(links, news, reply)
+
+    def news_heard(self, link: Link, news: dict[str, Any], reply: Reply) -> None:
+        """The other passes a call-back on to us: if it is not ours, to whoever is beyond us."""
+        beyond = self.newer if link.older else self.older
+        if self.taken(news) or beyond is None or not beyond.greeted:
+            reply(204)
+        else:
+            self._pass([beyond], news, reply)
+
+    def _pass(self, links: list[Link], news: dict[str, Any], reply: Reply) -> None:
+        if not links:
+            reply(204)
+            return
+        left, worst = len(links), 204
+
+        def one(status: int) -> None:
+            nonlocal left, worst
+            left, worst = left - 1, max(worst, status)
+            if not left:
+                reply(worst)
+
+        self.core.counters.add("out.news_passed_on")
+        for link in links:
+            self.asks += 1
+            link.ask(self.asks, news, one)
+
+
+def _short(path: str) -> str:
+    """The same path, short enough for a socket's name."""
+    if len(os.fsencode(path)) < 100:
+        return path
+    folder, name = os.path.split(path)
+    return f"/proc/self/fd/{_opened(folder)}/{name}"
+
+
+@functools.cache
+def _opened(folder: str) -> int:
+    return os.open(folder, os.O_PATH)
+
+
+def _answers(path: str) -> bool:
+    """Whether some process listens there."""
+    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
+        sock.setblocking(False)
+        return sock.connect_ex(_short(path)) == 0
--- a/eiderpin/net/loop.py
+++ b/eiderpin/net/loop.py
@@ -51,7 +51,8 @@
         self.dropped = 0  # bytes read and dropped since we began to close
         self.end_at: Deadline | None = None
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if sock.family == socket.AF_INET:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.number = loop.connections.add(self)
         self.mask = WRITE if connecting else READ
         loop.selector.register(sock, self.mask, self.ready)
@@ -182,31 +183,69 @@
 
 
 class Listener:
-    """Accepts connections while `open` says that there is room for them."""
+    """Accepts connections while it is `on` and `make_room` says that there is room for them.
+
+    `where` is an address, or a socket that listens already and may be others' too: that one is neither bound
+    nor shut down here. `shared`: an old and a new process may both bind the address for a while.
+    """
 
     def __init__(
-        self, loop: Loop, address: tuple[str, int], taken: Callable[[Connection], None],
-        make_room: Callable[[], bool] = lambda: True,
+        self, loop: Loop, where: tuple[str, int] | socket.socket, taken: Callable[[Connection], None],
+        make_room: Callable[[], bool] = lambda: True, on: bool = True, shared: bool = False,
     ) -> None:  # fmt: skip
         self.loop = loop
         self.taken = taken
         self.make_room = make_room
-        self.resting = False
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.bind(address)
-        self.sock.listen(1024)
+        self.on = self.resting = self._registered = False
+        self._inherited, self._shared = isinstance(where, socket.socket), shared
+        self.sock = where if isinstance(where, socket.socket) else self._bound(where)
         self.sock.setblocking(False)
-        loop.selector.register(self.sock, READ, self.ready)
+        self._where = self.sock.getsockname()
+        if on:
+            self.start()
+
+    def _bound(self, where: tuple[str, int]) -> socket.socket:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self._shared:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind(where)
+        return sock
 
     @property
     def address(self) -> tuple[str, int]:
-        host, port = self.sock.getsockname()[:2]
+        host, port = self._where[:2]
         return str(host), int(port)
 
+    def start(self) -> None:
+        if not self.on and not self._inherited:
+            if self.sock.fileno() < 0:
+                self.sock = self._bound(self.address)
+                self.sock.setblocking(False)
+            self.sock.listen(1024)
+        self.on = True
+        self._watch()
+
+    def pause(self) -> None:
+        """Accept no more. What waits is for whoever else listens: on the same socket, or on the same address,
+        where a socket that goes on listening would keep its part of the callers waiting."""
+        self.on = False
+        self._watch()
+        if not self._inherited:
+            self.sock.close()
+
+    def _watch(self) -> None:
+        wanted = self.on and not self.resting and self.sock.fileno() >= 0
+        if wanted and not self._registered:
+            self.loop.selector.register(self.sock, READ, self.ready)
+        elif not wanted and self._registered:
+            with contextlib.suppress(KeyError, ValueError):
+                self.loop.selector.unregister(self.sock)
+        self._registered = wanted
+
     def ready(self, mask: int) -> None:
         for _ in range(64):
-            if self.resting:
+            if self.resting or not self.on:
                 return
             try:
                 sock, _ = self.sock.accept()
@@ -231,21 +270,19 @@
     def rest(self, ms: float = REST) -> None:
         if not self.resting:
             self.resting = True
-            with contextlib.suppress(KeyError):  # it may be out already
-                self.loop.selector.unregister(self.sock)
+            self._watch()
             self.loop.deadlines.set(self.loop.clock.now() + ms, self._wake)
 
     def _wake(self) -> None:
         self.resting = False
-        if not self.make_room():
+        if self.on and not self.make_room():
             self.rest()
             return
-        if self.sock.fileno() >= 0:
-            self.loop.selector.register(self.sock, READ, self.ready)
+        self._watch()
 
     def close(self) -> None:
-        if not self.resting:
-            self.loop.selector.unregister(self.sock)
+        """Our own descriptor alone: a socket that others hold too goes on listening."""
+        self.pause()
         self.sock.close()
 
 
@@ -257,10 +294,11 @@
         self.selector = selectors.DefaultSelector()
         self.connections: SlotTable[Connection] = SlotTable()
 
-    def connect(self, address: tuple[str, int]) -> Connection | None:
-        """A connection on its way up; None where it cannot even be begun."""
+    def connect(self, address: tuple[str, int] | str) -> Connection | None:
+        """A connection on its way up, by TCP or to a path; None where it cannot even be begun."""
+        family = socket.AF_UNIX if isinstance(address, str) else socket.AF_INET
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock = socket.socket(family, socket.SOCK_STREAM)
         except OSError:
             self.counters.add("out.no_descriptor")
             return None
--- a/eiderpin/net/workers.py
+++ b/eiderpin/net/workers.py
@@ -4,6 +4,7 @@
 
 import math
 import socket
+from collections.abc import Callable
 from typing import Any
 
 import orjson
@@ -157,6 +158,7 @@
         self.open: set[WorkerConnection] = set()
         self.idle: dict[str, list[WorkerConnection]] = {}
         self._trust, self._stale_at = math.inf, 0.0
+        self.not_ours: Callable[[dict[str, Any], Callable[[int], None]], None] = _nobody
 
     # -- what the core asks
 
@@ -273,26 +275,34 @@
 
     # -- call-backs
 
-    def news(self, body: bytes) -> int:
-        """Take one call-back; returns the status to answer. Repeated and late ones are answered as well."""
+    def news(self, body: bytes, reply: Callable[[int], None]) -> None:
+        """Take one call-back and reply with a status. Repeated and late ones are answered as well."""
         try:
             said: Any = orjson.loads(body)
-        except orjson.JSONDecodeError:
-            return 400
-        if not isinstance(said, dict) or not all(isinstance(said.get(k), str) for k in ("id", "state")):
-            return 400
+            known = self.take_news(said)
+        except ValueError:
+            reply(400)
+            return
         state = said["state"]
         self.core.counters.add(f"in.news.{state}" if state in STATES else "in.news.other")
-        flow = self.core.flow_of(said["id"])
+        if known:
+            reply(204)
+        else:
+            self.not_ours(said, reply)
+
+    def take_news(self, said: Any) -> bool:
+        """Whether it is of a flow that we know. Raises `ValueError` where it makes no sense."""
+        if not isinstance(said, dict) or not all(isinstance(said.get(k), str) for k in ("id", "state")):
+            raise ValueError("a call-back names an id and a state")
+        state, flow = said["state"], self.core.flow_of(said["id"])
         if flow is None:
-            return 204
+            return False
         mine = [s for s in flow.schedulings if s.entry.name == said.get("from")]
         scheduling = next((s for s in reversed(mine) if not s.ended), None)
         if scheduling is None:
             if state == "done" and mine:
                 self.core.late_result(flow, _result(said))
-            return 204
-        if state == "started":
+        elif state == "started":
             self.core.progress(scheduling, True)
         elif state == "running":
             share = said.get("share")
@@ -302,7 +312,12 @@
             self.core.ended(scheduling, api.Outcome.DONE, _result(said))
         elif state in STATES:
             self.core.ended(scheduling, STATES[state])
-        return 204
+        return True
+
+
+def _nobody(said: dict[str, Any], reply: Callable[[int], None]) -> None:
+    """There is no process beside us that may know of it."""
+    reply(204)
 
 
 STATES = {
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import sys
+import tempfile
 from dataclasses import dataclass, fields
 from typing import Any
 
@@ -20,12 +21,15 @@
 from eiderpin.net.agent_check import MOST_OPEN, AgentCheck
 from eiderpin.net.edge import Away, Edge
 from eiderpin.net.gearman_front import GearmanFront
+from eiderpin.net.handover import Handover
 from eiderpin.net.loop import Loop
 from eiderpin.net.management import MOST_CALLERS, Management
 from eiderpin.net.workers import HttpWorkers
 
 LINGER = 600.0  # ms after SIGTERM in which new connections may still come
 SETTLE = 400.0  # ms after a drain in which the front may still send new clients: idle ones are not yet closed
+LATEST_BEGIN = 3000.0  # ms in which a new process takes the clients, whatever it has not heard by then
+FEW_MORE = 6  # connections to workers that a process may add once its successor has the clients
 OWN = 16  # descriptors for standard streams, signals, listeners, discovery and chance
 FEW_SOCKETS = 96  # fewer cannot be shared out
 EXTRA, EXTRA_SHARE = 48, 1 / 6  # edge connections past those that wait for jobs: so many, or this share
@@ -53,17 +57,22 @@
     gearman: tuple[str, int] | None = None  # None: off
     agent_check: tuple[str, int] | None = None
     management: tuple[str, int] | None = None  # the operators' door; None: off
+    inherited: int | None = None  # the descriptor that clients' connections come by; None: we bind `listen`
 
 
-def shares(config: Config) -> tuple[int, int, int]:
-    """How many descriptors the workers' side, each front and the edge's further connections may use."""
+def shares(config: Config, beside: int = 0) -> tuple[int, int, int]:
+    """How many descriptors the workers' side, each front and the edge's further connections may use, while a
+    predecessor still uses `beside` of them."""
     spare = OWN
     spare += MOST_OPEN if config.agent_check is not None else 0
     spare += MOST_CALLERS if config.management is not None else 0
-    extra = min(EXTRA, int(EXTRA_SHARE * config.sockets))
+    if config.inherited is not None and not beside:
+        spare += OWN + MOST_CALLERS  # for a successor to start on
+    sockets = config.sockets - beside
+    extra = min(EXTRA, max(8, int(EXTRA_SHARE * sockets)))
     # A worker has a few slots, so its side needs few descriptors, but must never be without: a quarter is its
     # own, and each front is held to its share of the rest.
-    room = config.sockets - spare - extra
+    room = max(16, sockets - spare - extra)
     workers = max(room // 4, min(24, room // 2))
     return workers, (room - workers) // (1 if config.gearman is None else 2), extra
 
@@ -115,11 +124,20 @@
 
 def read_environment(config: Config) -> None:
     """What the environment names counts before the file: each process may have a door of its own there."""
-    door = os.environ.get("GW_MANAGEMENT")
+    door, number = os.environ.get("GW_MANAGEMENT"), os.environ.get("GW_FD")
     try:
         config.management = _address(door) if door else config.management
     except ValueError as error:
         raise ConfigError(f"GW_MANAGEMENT: {error}") from None
+    if number:
+        try:
+            config.inherited = int(number)
+            with socket.socket(fileno=os.dup(config.inherited)) as sock:
+                listens = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+        except (ValueError, OSError, OverflowError) as error:
+            raise ConfigError(f"GW_FD: {error}") from None
+        if not listens:
+            raise ConfigError(f"GW_FD: descriptor {number} does not listen")
 
 
 def _address(text: Any) -> tuple[str, int]:
@@ -129,7 +147,7 @@
 
 
 # What a replaced configuration changes at once; `seed` and `known` are for a start only.
-AT_ONCE = ("discovery", "seed", "known", "gearman", "agent_check", "management")
+AT_ONCE = ("discovery", "seed", "known", "gearman", "agent_check", "management", "inherited")
 
 
 class Service:
@@ -142,6 +160,10 @@
         self.core = Dispatcher(config.settings, config.seed, self.clock, self.deadlines, self.counters)
         workers, fronts, extra = shares(config)
         memory = int(HELD_SHARE * config.memory_mb * (1 << 20))
+        where: tuple[str, int] | socket.socket = config.listen
+        shared = config.inherited is not None  # an old and a new process may run side by side
+        if config.inherited is not None:
+            where = socket.socket(fileno=config.inherited)
         self.core.keeps_results = config.gearman is not None
         self.workers = HttpWorkers(self.loop, self.core, "service.internal", workers)
         self.gearman: GearmanFront | None = None
@@ -149,12 +171,15 @@
         self.management: Management | None = None
         try:
             self.edge = Edge(
-                self.loop, self.core, config.listen, self.workers.news, self.readiness, fronts, extra, memory
-            )
+                self.loop, self.core, where, self.workers.news, self.readiness, fronts, extra, memory,
+                on=not shared,
+            )  # fmt: skip
             if config.gearman is not None:
-                self.gearman = GearmanFront(self.loop, self.core, config.gearman, config.name, fronts)
+                self.gearman = GearmanFront(
+                    self.loop, self.core, config.gearman, config.name, fronts, shared
+                )
             if config.agent_check is not None:
-                self.agent_check = AgentCheck(self.loop, config.agent_check, self.readiness)
+                self.agent_check = AgentCheck(self.loop, config.agent_check, self.readiness, shared)
             if config.management is not None:
                 calls = {"ready": self.ready, "show-stat": self.show_stat,
                          "drain": self.drain, "resume": self.resume}  # fmt: skip
@@ -166,13 +191,93 @@
         )
         self.drained = False  # by the operators' word
         self.stopping_since: float | None = None  # since SIGTERM
+        self.handed_at: float | None = None  # when a successor took the clients
+        self.begun_at = self.clock.now()
+        self.serving = not shared  # we accept clients, or did until a successor took them
+        self.handover: Handover | None = None
+        if shared:
+            host, port = self.edge.listener.address
+            path = os.path.join(tempfile.gettempdir(), f"eiderpin-{host}-{port}.link")
+            self.handover = Handover(
+                self.loop, self.core, path, self.workers.take_news, self.state, self.changed
+            )
+            self.workers.not_ours = self.handover.pass_on
+
+    # -- an old and a new process side by side
+
+    def may_begin(self) -> bool:
+        """Whether we can serve, so that a predecessor may go."""
+        older = self.handover.older if self.handover is not None else None
+        if older is None:
+            return True
+        can = self.discovery.generation is not None and older.sockets > 0
+        return can or self.clock.now() > self.begun_at + LATEST_BEGIN
+
+    def begin(self) -> None:
+        self.serving = True
+        self.changed()
+        if self.handover is not None:
+            self.handover.serve()
+
+    @property
+    def handed_over(self) -> bool:
+        return self.handover is not None and self.handover.handed_over
+
+    def changed(self) -> None:
+        """What we know of the process beside us has changed, or what we were told to do."""
+        if self.handed_at is not None and not self.handed_over:
+            self.handed_at = None
+            self.say("the newer process has gone: taking clients again")
+        elif self.handed_at is None and self.handed_over:
+            self.handed_at = self.clock.now()
+            self.say(f"a newer process takes the clients; {self.core.outstanding} jobs are under way here")
+        accepts = self.serving and not self.handed_over
+        for front in (self.edge, self.gearman, self.agent_check):
+            if front is not None and front.listener.on is not accepts:
+                (front.listener.start if accepts else front.listener.pause)()
+        ending = self.stopping_since is not None or self.handed_over
+        whom = Away.ALL if ending else Away.CLIENTS if self.drained else Away.NOBODY
+        self.edge.send_away(whom, 0.0 if ending else SETTLE)
+        if self.gearman is not None:
+            self.gearman.send_away(whom is not Away.NOBODY, SETTLE)
+        self.share_out()
+
+    def share_out(self) -> None:
+        """Together we keep to the limits: a successor leaves free what its predecessor still uses."""
+        if self.handover is None:
+            return
+        older, newer = self.handover.older, self.handover.newer
+        workers, fronts, extra = shares(self.config, older.sockets if older is not None else 0)
+        if self.handed_over:
+            workers = min(workers, len(self.workers.open) + FEW_MORE)
+        self.workers.most, self.edge.most, self.edge.extra = workers, fronts, extra
+        if self.gearman is not None:
+            self.gearman.most = fronts
+        memory = HELD_SHARE * self.config.memory_mb * (1 << 20)
+        self.edge.memory = int(memory if older is None and newer is None else memory / 2)
+
+    def state(self) -> dict[str, Any]:
+        """What the process beside us is told."""
+        if self.handed_over:
+            self.share_out()
+        beside = self.core.module.beside()
+        used = OWN + MOST_CALLERS + len(self.edge.connections) + self.workers.most
+        if self.gearman is not None:
+            used += len(self.gearman.connections)
+        return {
+            "holds": beside.holds, "shapes": beside.shapes, "sockets": used, "readiness": self.readiness(),
+        }  # fmt: skip
+
+    # -- what balancers and operators ask
 
     def readiness(self) -> str:
         """What balancers in front are told, in the words of HAProxy's agent-check: whether new work is
         welcome, and the share of what we can hold that is free."""
+        if self.handed_over and self.handover is not None and self.handover.newer is not None:
+            return self.handover.newer.readiness
         if self.drained or self.stopping_since is not None:
             return "drain"
-        if not any(e.in_service for e in self.core.entries.values()):
+        if not self.serving or not any(e.in_service for e in self.core.entries.values()):
             return "down"
         most = min(self.edge.most, self.config.settings.most_held)
         return f"up {max(1, 100 - 100 * len(self.core.flows) // most)}%"
@@ -187,6 +292,9 @@
         """The operators' `show-stat`: the figures, then a line `eof`."""
         return orjson.dumps(self.core.figures()).decode() + "\neof"
 
+    def say(self, text: str) -> None:
+        print(f"eiderpin: {text}", file=sys.stderr, flush=True)
+
     def addresses(self) -> str:
         """Where we listen, for whoever started us with port 0."""
         fronts = {"edge": self.edge, "gearman": self.gearman, "agent-check": self.agent_check,
@@ -201,23 +309,23 @@
         """Begin the planned end: serve what comes, and end once all is answered."""
         if self.stopping_since is None:
             self.stopping_since = self.clock.now()
-            self.edge.send_away(Away.ALL, 0.0)
+            self.changed()
 
     def drain(self) -> str:
         """The operators' `drain`: send clients away, until `resume`."""
+        if self.handed_over:
+            return "fail a newer process has the clients: ask at its door"
         self.drained = True
-        self.edge.send_away(Away.CLIENTS, SETTLE)
-        if self.gearman is not None:
-            self.gearman.send_away(True, SETTLE)
+        self.changed()
         return "ok drained"
 
     def resume(self) -> str:
+        if self.handed_over:
+            return "fail a newer process has the clients: ask at its door"
         if self.stopping_since is not None:
             return "fail it has been told to end"
         self.drained = False
-        self.edge.send_away(Away.NOBODY, 0.0)
-        if self.gearman is not None:
-            self.gearman.send_away(False, 0.0)
+        self.changed()
         return "ok back to work"
 
     def reload(self) -> None:
@@ -228,7 +336,7 @@
                 new = read_config(file.read())
         except (OSError, ConfigError) as error:
             self.counters.add("in.reloads_bad")
-            print(f"eiderpin: not reloaded: {error}".replace("\n", " "), file=sys.stderr, flush=True)
+            self.say(f"not reloaded: {error}".replace("\n", " "))
             return
         self.counters.add("in.reloads")
         self.config.discovery = new.discovery
@@ -236,32 +344,44 @@
         names = [f.name for f in fields(Config) if f.name not in AT_ONCE]
         stay = [n for n in names if getattr(new, n) != getattr(self.config, n)]
         if stay:
-            text = f"eiderpin: reloaded; a restart is needed for: {', '.join(stay)}"
-            print(text, file=sys.stderr, flush=True)
+            self.say(f"reloaded; a restart is needed for: {', '.join(stay)}")
 
     def over(self) -> bool:
-        if self.stopping_since is None or self.clock.now() < self.stopping_since + LINGER:
+        if not self.may_end():
             return False
         if any(not f.ended for f in self.core.flows.all()) or not self.edge.quiet:
             return False
         return self.gearman is None or not any(c.conn.unsent for c in self.gearman.connections.all())
 
+    def may_end(self) -> bool:
+        """Whether we may go once all is answered."""
+        now, newer = self.clock.now(), self.handover.newer if self.handover is not None else None
+        if self.handed_at is not None and not len(self.edge.connections):
+            return now > self.handed_at + LINGER
+        if self.stopping_since is None or now < self.stopping_since + LINGER:
+            return False
+        # One that comes after us and cannot serve yet is waited for.
+        return newer is None or newer.serving or now > self.stopping_since + LATEST_BEGIN
+
     def print_counters(self) -> None:
         lines = ["counters", *self.counters.lines(), "end of counters"]
         print("\n".join(lines), file=sys.stderr, flush=True)
 
     def turn(self) -> None:
         """One turn of the loop."""
-        longest = 1000.0 if self.stopping_since is None else 20.0
-        self.loop.once(self.core.decide, longest)
+        if not self.serving and self.stopping_since is None and self.may_begin():
+            self.begin()
+        rests = self.serving and self.stopping_since is None and self.handed_at is None
+        self.loop.once(self.core.decide, 1000.0 if rests else 20.0)
 
     def run(self) -> None:
         """Serve until stopped; SIGTERM and SIGINT stop it, SIGHUP has the configuration read again, SIGUSR1
         prints the counters."""
         self._take_signals()
-        print(f"eiderpin: {self.config.name} listens {self.addresses()}", file=sys.stderr, flush=True)
+        self.say(f"{self.config.name} listens {self.addresses()}")
         while not self.over():
             self.turn()
+        self.say("ends, all is answered")
         self.print_counters()
 
     def _take_signals(self) -> None:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -259,12 +259,27 @@
         self.peer.close()
 
 
+class Inherited:
+    """The listening socket that the platform holds, and the folder that an old and a new process share."""
+
+    def __init__(self, depth: int = 0) -> None:
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen(128)
+        self.folder = tempfile.TemporaryDirectory(prefix="x" * depth)
+
+    def close(self) -> None:
+        self.sock.close()
+        self.folder.cleanup()
+
+
 class Program:
     """The program itself, in a process of its own, with the fronts that are asked for."""
 
     def __init__(
-        self, discovery: Discovery, optimized: bool = True, fronts: tuple[str, ...] = (), **config: Any
-    ) -> None:
+        self, discovery: Discovery, optimized: bool = True, fronts: tuple[str, ...] = (),
+        inherits: Inherited | None = None, **config: Any,
+    ) -> None:  # fmt: skip
         self.folder = tempfile.TemporaryDirectory()
         path = Path(self.folder.name)
         said = {
@@ -276,8 +291,14 @@
         (path / "fronts.json").write_text(json.dumps({f: {"listen": "127.0.0.1:0"} for f in fronts}))
         env = {**os.environ, "GW_CONFIG": str(path / "config.json"),
                "EIDERPIN_FRONTS": str(path / "fronts.json")}  # fmt: skip
+        pass_fds: tuple[int, ...] = ()
+        if inherits is not None:
+            env |= {"GW_FD": str(inherits.sock.fileno()), "TMPDIR": inherits.folder.name}
+            pass_fds = (inherits.sock.fileno(),)
         command = [sys.executable, *(["-O"] if optimized else []), "-m", "eiderpin"]
-        self.process = subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True)
+        self.process = subprocess.Popen(
+            command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True, pass_fds=pass_fds
+        )
         self.lines: list[str] = []
         assert self.process.stderr is not None
         first = self.process.stderr.readline()
