Let the new process take over what the old one has learned, and count its jobs in trials

Ruled out: discovery (lists told, drains kept), the door (0 ended there). Cause: decide.on_trial counted our own jobs only, so the new process tried one more slot on workers the old one had filled; and it began its trials of every shape anew.

--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -564,7 +564,7 @@
             and not worker.known_slots
             and worker.shape.misses < TRIAL_MISSES
             and worker.cold_until <= self.now
-            and worker.ours + need <= self.slots(worker) + 1.0
+            and worker.ours + worker.beside + need <= self.slots(worker) + 1.0
         )
 
     def hear_start(self, attempt: Attempt) -> None:
@@ -890,7 +890,7 @@
             self.unstarted.append(attempt)
         worker.ours += job.need
         self.ours += job.need
-        attempt.over = worker.ours > self.slots(worker)
+        attempt.over = worker.ours + worker.beside > self.slots(worker)
         if worker.cold_until > self.now:
             worker.cold_spent.append((self.now, attempt.expected * job.need))
         if worker.trial:
@@ -1003,12 +1003,24 @@
             if event.gone and worker.beside > 0:
                 worker.others, worker.others_at = self.others(worker), self.now
             worker.beside, worker.beside_cold = event.holds.get(worker.name, (0.0, 0.0))
-        for name, (slots, slow) in event.shapes.items():
+        if event.learned and self.pace.work <= 0:
+            self.learn_from(event.learned)
+
+    def learn_from(self, learned: dict[str, dict[str, tuple[float, ...]]]) -> None:
+        """Before our first run, what the process beside us has learned is better than guesses."""
+        for name, (slots, misses, slow, run, work) in learned.get("shapes", {}).items():
             shape = self.shapes.get(name)
-            if shape is not None and not shape.slots and shape.pace.work <= 0:
-                # We have seen no run on it yet, so what the other has learned is better than a guess.
-                self.set_slots(shape, slots)
-                shape.slow = slow
+            if shape is not None:
+                if slots:
+                    self.set_slots(shape, slots)
+                shape.misses, shape.slow, shape.pace.run, shape.pace.work = int(misses), slow, run, work
+        for name, (slow, run, work) in learned.get("workers", {}).items():
+            worker = self.workers.get(name)
+            if worker is not None:
+                worker.slow, worker.slow_at, worker.pace.run, worker.pace.work = slow, self.now, run, work
+        for mean, run, work in learned.get("fleet", {}).values():
+            self.run_mean, self.pace.run, self.pace.work = mean, run, work
+            self.slow_mean = run / max(work, 1.0)
 
     def beside(self) -> Beside:
         """What the process beside us has to know."""
@@ -1017,7 +1029,19 @@
             cold = sum(c for at, c in worker.cold_spent if at > since) if worker.cold_spent else 0.0
             if worker.ours > 0 or cold > 0:
                 holds[worker.name] = (worker.ours, cold)
-        return Beside(holds, {n: (s.slots, s.slow) for n, s in self.shapes.items() if s.slots > 0})
+        return Beside(holds)
+
+    def learned(self) -> dict[str, dict[str, tuple[float, ...]]]:
+        """What a process that begins beside us need not find out anew."""
+        if self.pace.work <= 0:
+            return {}
+        return {
+            "shapes": {
+                name: (s.slots, s.misses, s.slow, s.pace.run, s.pace.work) for name, s in self.shapes.items()
+            },
+            "workers": {n: (w.slow, w.pace.run, w.pace.work) for n, w in self.workers.items() if w.pace.work},
+            "fleet": {"": (self.run_mean, self.pace.run, self.pace.work)},
+        }
 
     # -- health
 
@@ -1034,7 +1058,8 @@
             self.learn_run(attempt, run)
             return
         if event.outcome is Outcome.REJECTED:
-            if self.learns_slots() and worker.ours + attempt.job.need > self.slots(worker):
+            held = worker.ours + worker.beside + attempt.job.need
+            if self.learns_slots() and held > self.slots(worker):
                 worker.shape.misses += 1
             self.observe(worker, self.slots(worker) + 1.0, 0.0)
         elif event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and not event.stale:
--- a/eiderpin/net/handover.py
+++ b/eiderpin/net/handover.py
@@ -4,6 +4,7 @@
 
     {"hello": 1, "ids": [...]}      first of all; the ids of jobs under way
     {"serving": true}               the new one accepts clients from now on; the old one stops
+    {"learned": {...}}              what the decisions of the older one have learned; once
     {"state": {...}}                what I hold: on workers, of descriptors; and my readiness
     {"news": {...}, "ask": 7}       a worker's call-back of an id that I do not know
     {"told": 7}                     it has been taken, or nobody here knows that id either
@@ -32,6 +33,7 @@
 SILENCE = 3000.0  # ms without a word after which the other is taken to be stuck
 BEAT = 500.0  # ms after which the state is told again though nothing has changed
 NEWS_WITHIN = 500.0  # ms in which the other must take a call-back; else its worker is asked to say it again
+FIGURES = {"shapes": 5, "workers": 3, "fleet": 3}  # of each kind that the decisions tell as learned
 MOST_LINE = 4 << 20
 MOST_IDS = 20_000
 MOST_STRANGERS = 4  # connections that have not said hello
@@ -49,6 +51,7 @@
         self.serving = False  # the newer one there accepts clients
         self.readiness = ""
         self.sockets = 0  # descriptors that it uses
+        self.held: dict[str, tuple[float, float]] = {}
         self.line = bytearray()
         self.last_told: dict[str, Any] = {}
         self.told_at = 0.0
@@ -89,14 +92,21 @@
         elif "state" in said:
             state = said["state"]
             holds = {str(w): (float(a), float(b)) for w, (a, b) in state["holds"].items()}
-            shapes = {str(n): (float(a), float(b)) for n, (a, b) in state["shapes"].items()}
-            if not all(x >= 0 for pair in (*holds.values(), *shapes.values()) for x in pair):
+            if not all(a >= 0 and b >= 0 for a, b in holds.values()):
                 raise ValueError("what is held is no less than nothing")
             self.sockets, self.readiness = int(state["sockets"]), str(state["readiness"])
-            self.handover.core.told_beside(api.Beside(holds, shapes))
+            self.held = holds
+            self.handover.core.told_beside(api.Beside(holds))
             self.handover.changed()
+        elif "learned" in said:
+            learned = {
+                kind: {str(name): _floats(figures, FIGURES[kind]) for name, figures in of.items()}
+                for kind, of in said["learned"].items()
+            }
+            self.handover.core.told_beside(api.Beside(self.held, learned))
         elif "serving" in said:
             self.serving = True
+            self.put({"learned": self.handover.core.module.learned()})
             self.handover.changed()
         elif "news" in said:
             ask = int(said["ask"])
@@ -252,6 +262,13 @@
             link.ask(self.asks, news, one)
 
 
+def _floats(figures: Any, count: int) -> tuple[float, ...]:
+    got = tuple(float(x) for x in figures)
+    if len(got) != count or not all(0 <= x < 1e12 for x in got):
+        raise ValueError("no such figures")
+    return got
+
+
 def _short(path: str) -> str:
     """The same path, short enough for a socket's name."""
     if len(os.fsencode(path)) < 100:
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -260,12 +260,11 @@
         """What the process beside us is told."""
         if self.handed_over:
             self.share_out()
-        beside = self.core.module.beside()
         used = OWN + MOST_CALLERS + len(self.edge.connections) + self.workers.most
         if self.gearman is not None:
             used += len(self.gearman.connections)
         return {
-            "holds": beside.holds, "shapes": beside.shapes, "sockets": used, "readiness": self.readiness(),
+            "holds": self.core.module.beside().holds, "sockets": used, "readiness": self.readiness(),
         }  # fmt: skip
 
     # -- what balancers and operators ask
