--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -238,9 +238,44 @@
     def probed(self, entry: ServiceEntry, ok: bool, elapsed: float) -> None:
         self._events.append(api.ProbeEnded(entry.name, ok, elapsed))
 
-    def told_beside(self, beside: api.Beside) -> None:
-        """What the process beside us, an older or a newer one, holds."""
-        self._events.append(beside)
+    # -- with an older or a newer process beside us
+
+    def tell(self, event: api.Beside | api.Adopted) -> None:
+        """What that process holds, or hands to us, is for the decisions to know."""
+        self._events.append(event)
+
+    def let_go(self, flow: Flow) -> None:
+        """It lives on elsewhere: nobody is answered and nothing is called off here."""
+        flow.ended = True
+        flow.waiters.clear()
+        self.outstanding -= 1
+        self.deadlines.drop(flow.backstop)
+        for scheduling in flow.schedulings:
+            scheduling.ended = True
+            self.deadlines.drop(scheduling.expiry)
+        self.counters.add("out.flows_moved")
+        self._by_unique.pop((flow.cls, flow.unique), None)
+        self._release(flow)
+
+    def take_over(self, flow: Flow, waiter: EdgeSide) -> None:
+        """It has lived elsewhere, and is ours from now on."""
+        name = (flow.cls, flow.unique)
+        if name in self._by_unique or flow.wire_id in self._by_wire:
+            raise ValueError("its id is another's here")
+        flow.id = self.flows.add(flow)
+        self.counters.add("in.flows_moved")
+        self.outstanding += 1
+        flow.waiters.append(waiter)
+        flow.backstop = self.deadlines.set(flow.deadline, lambda: self._overdue(flow))
+        self._by_unique[name] = flow
+        self._by_wire[flow.wire_id] = flow
+        for scheduling in flow.schedulings:
+            if not scheduling.ended:
+                self._expire(scheduling)
+
+    def _expire(self, scheduling: Scheduling) -> None:
+        at = scheduling.made_at + scheduling.timeout
+        scheduling.expiry = self.deadlines.set(at, lambda: self._timed_out(scheduling))
 
     def flow_of(self, wire_id: str) -> Flow | None:
         return self._by_wire.get(wire_id)
@@ -305,7 +340,7 @@
         scheduling = Scheduling(flow, len(flow.schedulings), entry, now, timeout)
         flow.schedulings.append(scheduling)
         if must(not flow.ended, "no send after the end"):
-            scheduling.expiry = self.deadlines.set(now + timeout, lambda: self._timed_out(scheduling))
+            self._expire(scheduling)
             entry.link.send(scheduling)
         else:
             self.ended(scheduling, api.Outcome.NOT_SENT)
--- /dev/null
+++ b/eiderpin/core/moves.py
@@ -0,0 +1,84 @@
+"""Flows that go from an old process to the new one beside it, with the attempts that are out for them."""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from eiderpin import interface as api
+from eiderpin.core.dispatcher import ANSWER_MARGIN, Dispatcher
+from eiderpin.core.flows import EdgeSide, Flow, TableFull
+from eiderpin.core.schedulings import Scheduling
+
+
+@dataclass(slots=True)
+class Moved:
+    """A flow on its way. Times are in ms from now, or ago: the processes' clocks may differ."""
+
+    cls: str
+    unique: str
+    target: str
+    body: str
+    left: float
+    slots: float
+    memory: float
+    tenant: str | None
+    key: str | None
+    hint: float | None
+    client_retry: bool
+    priority: int
+    wire_id: str
+    share: float
+    schedulings: list[list[Any]]  # worker, ms ago, time-out, whether it may have run, whether it has ended
+    standing: dict[str, Any]  # what the decisions know of it: an `api.Standing`
+
+
+def hand_out(core: Dispatcher, flow: Flow) -> Moved | None:
+    """Take a flow out of here, and out of the decisions; None where it has to stay. Nothing is called off."""
+    core.decide()  # what has come in for it must not be lost
+    out = [s for s in flow.schedulings if not s.ended]
+    if flow.ended or flow.background or not flow.once or not all(s.entry.link.may_move(s) for s in out):
+        return None
+    standing = core.module.hand_out(flow.id, core.clock.now())
+    if standing is None:
+        return None
+    now = core.clock.now()
+    moved = Moved(
+        flow.cls, flow.unique, flow.target.decode("latin-1"), flow.body.decode("latin-1"),
+        flow.deadline - now, flow.slots, flow.memory, flow.tenant, flow.key, flow.hint,
+        flow.client_retry, flow.priority, flow.wire_id, flow.share,
+        [[s.entry.name, now - s.made_at, s.timeout, s.may_have_run, s.ended] for s in flow.schedulings],
+        asdict(standing),
+    )  # fmt: skip
+    core.let_go(flow)
+    return moved
+
+
+def adopt(core: Dispatcher, moved: Moved, waiter: EdgeSide) -> Flow:
+    """Take a flow in as it stands elsewhere. Raises `ValueError` where it cannot be."""
+    now = core.clock.now()
+    if moved.cls not in core.classes or any(s[0] not in core.entries for s in moved.schedulings):
+        raise ValueError("its class or a worker of its is not known here")
+    standing = api.Standing(**moved.standing)
+    if not all(0 <= number < len(moved.schedulings) for number, _, _ in standing.out):
+        raise ValueError("an attempt that was never made")
+    flow = Flow(
+        moved.cls, moved.unique, moved.target.encode("latin-1"), moved.body.encode("latin-1"),
+        now + moved.left, moved.slots, moved.memory, moved.tenant, moved.key, moved.hint,
+        moved.client_retry, moved.priority, once=True, wire_id=moved.wire_id, share=moved.share,
+    )  # fmt: skip
+    for number, (name, ago, timeout, may_have_run, ended) in enumerate(moved.schedulings):
+        entry = core.entries[name]
+        flow.schedulings.append(
+            Scheduling(flow, number, entry, now - ago, timeout, True, may_have_run, ended)
+        )
+    try:
+        core.take_over(flow, waiter)
+    except TableFull:
+        raise ValueError("there is no room") from None
+    request = api.Request(
+        flow.id, flow.cls, moved.left - ANSWER_MARGIN, flow.slots, flow.memory, flow.tenant, flow.key,
+        flow.hint, flow.client_retry, flow.priority,
+    )  # fmt: skip
+    core.tell(api.Adopted(request, standing))
+    return flow
--- a/eiderpin/core/schedulings.py
+++ b/eiderpin/core/schedulings.py
@@ -21,6 +21,10 @@
 
     def entry_changed(self, entry: ServiceEntry) -> None: ...
 
+    def may_move(self, scheduling: Scheduling) -> bool:
+        """Whether it goes on, and its end can be told, without the connection that it was sent on."""
+        ...
+
 
 @dataclass(slots=True, eq=False)
 class ServiceEntry:
--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -18,6 +18,7 @@
 
 from eiderpin.interface import (
     Action,
+    Adopted,
     AttemptEnded,
     Beside,
     Cancel,
@@ -41,6 +42,7 @@
     Send,
     SetTimer,
     Settings,
+    Standing,
     StreamStarted,
     TimerFired,
     Watch,
@@ -392,6 +394,7 @@
             TimerFired: self.on_timer,
             PeerMessage: self.on_peer,
             Beside: self.on_beside,
+            Adopted: self.on_adopted,
         }
 
     def handle(self, now: float, events: Iterable[Event]) -> list[Action]:
@@ -880,16 +883,8 @@
         waiting.due = min(waiting.due, self.now + self.gather)
 
     def send(self, job: Job, worker: Worker) -> None:
-        attempt = Attempt(job, job.sends, worker, self.now, self.expected_run(worker, job))
-        attempt.usual = max(attempt.expected, self.work.get(job.spec.name, 0.0) * worker.shape.slow)
+        attempt = self.commit(job, job.sends, worker, self.now)
         job.sends += 1
-        job.out.append(attempt)
-        self.attempts[job.id, attempt.number] = attempt
-        worker.out[job.id, attempt.number] = attempt
-        if self.s.tells_start:
-            self.unstarted.append(attempt)
-        worker.ours += job.need
-        self.ours += job.need
         attempt.over = worker.ours + worker.beside > self.slots(worker)
         if worker.cold_until > self.now:
             worker.cold_spent.append((self.now, attempt.expected * job.need))
@@ -898,6 +893,19 @@
         self.actions.append(Send(job.id, worker.name))
         self.ask_slots(worker)
 
+    def commit(self, job: Job, number: int, worker: Worker, sent: float) -> Attempt:
+        """An attempt is out, and takes up its worker's slots."""
+        attempt = Attempt(job, number, worker, sent, self.expected_run(worker, job))
+        attempt.usual = max(attempt.expected, self.work.get(job.spec.name, 0.0) * worker.shape.slow)
+        job.out.append(attempt)
+        self.attempts[job.id, number] = attempt
+        worker.out[job.id, number] = attempt
+        if self.s.tells_start:
+            self.unstarted.append(attempt)
+        worker.ours += job.need
+        self.ours += job.need
+        return attempt
+
     def end(self, job: Job) -> None:
         """The request is over, by whoever's word; what is still out for it is called off."""
         job.over = True
@@ -1043,6 +1051,38 @@
             "fleet": {"": (self.run_mean, self.pace.run, self.pace.work)},
         }
 
+    def hand_out(self, request: int, now: float) -> Standing | None:
+        """Forget a request that goes on in the process beside us; None where it has to stay."""
+        job = self.jobs.get(request)
+        bound = job is not None and job.risky and job.spec.repeat is not Repeat.FREE
+        if job is None or bound or job.streaming or any(a.lost for a in job.out):
+            return None
+        del self.jobs[job.id]
+        job.over = True
+        standing = Standing(job.aim_at - now, job.work, job.sends, [], [], sorted(job.avoid))
+        for a in job.out:
+            started = now - a.started if a.started >= 0 else -1.0
+            standing.out.append((a.number, now - a.sent, started))
+            standing.at.append(a.worker.name)
+            del self.attempts[job.id, a.number], a.worker.out[job.id, a.number]
+            a.worker.ours -= job.need
+            self.ours -= job.need
+        return standing
+
+    def on_adopted(self, event: Adopted) -> None:
+        """A request with a past: its attempts are out, and hold their places here from now on."""
+        request, standing = event.request, event.standing
+        job = Job(request, self.classes[request.cls], self.now, standing.work)
+        job.aim_at, job.sends, job.avoid = self.now + standing.aim_in, standing.sends, set(standing.avoid)
+        self.jobs[job.id] = job
+        heapq.heappush(self.expiry, (job.deadline, job.id))
+        for (number, sent, started), name in zip(standing.out, standing.at, strict=True):
+            attempt = self.commit(job, number, self.workers[name], self.now - sent)
+            if started >= 0:
+                attempt.started = self.now - started
+        if not job.out:
+            self.gather_job(job)
+
     # -- health
 
     def judge(self, attempt: Attempt, event: AttemptEnded) -> None:
--- a/eiderpin/interface.py
+++ b/eiderpin/interface.py
@@ -273,6 +273,26 @@
     gone: bool = False
 
 
+@dataclass(slots=True)
+class Standing:
+    """What the decisions know of a request under way, for those of another process; ms from now, or ago."""
+
+    aim_in: float
+    work: float
+    sends: int
+    out: list[tuple[int, float, float]]  # number, sent, and started or -1: not told of
+    at: list[str]  # the workers of these
+    avoid: list[str]
+
+
+@dataclass(slots=True)
+class Adopted:
+    """A request comes from the process beside us, with the attempts that are out for it."""
+
+    request: Request
+    standing: Standing
+
+
 @dataclass(slots=True)
 class TimerFired:
     handle: int
@@ -286,7 +306,7 @@
 
 Event: TypeAlias = (
     Membership | Request | Progress | StreamStarted | AttemptEnded | RequestGone | ProbeEnded | TimerFired
-    | PeerMessage | Beside
+    | PeerMessage | Beside | Adopted
 )  # fmt: skip
 
 
--- a/eiderpin/net/edge.py
+++ b/eiderpin/net/edge.py
@@ -277,6 +277,22 @@
                 edge.conn.close()
         return len(self.connections) < self.most + self.extra
 
+    def movable(self, flow: Flow) -> EdgeConnection | None:
+        """The connection that waits for this flow, where it can go to another process with it: nothing else
+        has come or is going out there."""
+        edge = flow.waiters[0] if len(flow.waiters) == 1 else None
+        if not isinstance(edge, EdgeConnection) or edge.flow is not flow or edge.conn.closing:
+            return None
+        return edge if edge.reader.idle and not edge.waiting and not edge.conn.unsent else None
+
+    def adopt(self, sock: socket.socket) -> EdgeConnection:
+        """A client's connection from another process; its flow is on its way."""
+        edge = EdgeConnection(self, Connection(self.loop, sock, False))
+        edge.number = self.connections.add(edge)
+        edge.drop_limit()
+        edge.busy = edge.served = edge.worked = True
+        return edge
+
     def forget(self, edge: EdgeConnection) -> None:
         self.connections.remove(edge.number)
         self.held -= edge.held
--- a/eiderpin/net/gearman_front.py
+++ b/eiderpin/net/gearman_front.py
@@ -403,6 +403,10 @@
     def entry_changed(self, entry: ServiceEntry) -> None:
         """Nothing to do: the connection itself is the entry."""
 
+    def may_move(self, scheduling: Scheduling) -> bool:
+        """Its end comes on this worker's connection, and nowhere else."""
+        return False
+
     # -- handles, status and the text protocol
 
     def handle_of(self, flow: Flow) -> bytes:
--- a/eiderpin/net/handover.py
+++ b/eiderpin/net/handover.py
@@ -6,6 +6,8 @@
     {"serving": true}               the new one accepts clients from now on; the old one stops
     {"learned": {...}}              what the decisions of the older one have learned; once
     {"state": {...}}                what I hold: on workers, of descriptors; and my readiness
+    {"adopt": {...}, "ask": 7}      a job, and with this line its client's socket; answered by
+    {"adopted": 7}, {"refused": 7}  the last where it has to stay with the one who sent it
     {"news": {...}, "ask": 7}       a worker's call-back of an id that I do not know
     {"told": 7}                     it has been taken, or nobody here knows that id either
 
@@ -18,7 +20,9 @@
 import functools
 import os
 import socket
+from collections import deque
 from collections.abc import Callable
+from dataclasses import asdict
 from typing import Any
 
 import orjson
@@ -26,6 +30,8 @@
 from eiderpin import interface as api
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher
+from eiderpin.core.moves import Moved, adopt, hand_out
+from eiderpin.net.edge import Edge
 from eiderpin.net.loop import Connection, Listener, Loop
 
 HELLO_WITHIN = 1000.0  # ms; who is silent longer at first is no process of ours
@@ -34,6 +40,7 @@
 BEAT = 500.0  # ms after which the state is told again though nothing has changed
 NEWS_WITHIN = 500.0  # ms in which the other must take a call-back; else its worker is asked to say it again
 FIGURES = {"shapes": 5, "workers": 3, "fleet": 3}  # of each kind that the decisions tell as learned
+MOST_CAME = 16  # descriptors that may have come and wait for their lines
 MOST_LINE = 4 << 20
 MOST_IDS = 20_000
 MOST_STRANGERS = 4  # connections that have not said hello
@@ -56,14 +63,33 @@
         self.last_told: dict[str, Any] = {}
         self.told_at = 0.0
         self.asked: dict[int, tuple[Reply, Deadline]] = {}
+        self.given: dict[int, tuple[Moved, socket.socket]] = {}  # not known to have been adopted
+        self.came: deque[int] = deque()  # descriptors that have come, and wait for their line
         self.limit = self.loop.deadlines.set(self.loop.clock.now() + HELLO_WITHIN, self.end)
         self.look: Deadline | None = None
-        conn.on_data, conn.on_end = self.data, self.end
+        conn.on_data, conn.on_end, conn.receive = self.data, self.end, self.receive
         self.put({"hello": 1, "ids": [f.unique for f in handover.core.flows.all() if not f.ended][:MOST_IDS]})
 
     def put(self, message: dict[str, Any]) -> None:
         self.conn.write(orjson.dumps(message) + b"\n")
 
+    def put_socket(self, message: dict[str, Any], sock: socket.socket) -> bool:
+        """Send a socket with a message; whether it has gone out."""
+        if self.conn.unsent or self.conn.closed:
+            return False
+        line = orjson.dumps(message) + b"\n"
+        try:
+            sent = socket.send_fds(self.conn.sock, [line], [sock.fileno()])
+        except OSError:
+            return False
+        self.conn.write(line[sent:])
+        return True
+
+    def receive(self, size: int) -> bytes:
+        data, came, _, _ = socket.recv_fds(self.conn.sock, size, MOST_CAME)
+        self.came.extend(came)
+        return data
+
     def data(self, data: bytes) -> None:
         deadlines = self.loop.deadlines
         deadlines.drop(self.limit)
@@ -77,7 +103,9 @@
             for line in lines:
                 if not self.conn.closed:
                     self.heard(orjson.loads(line))
-        except (ValueError, TypeError, KeyError, AttributeError):
+            if len(self.came) > MOST_CAME:
+                raise ValueError("descriptors without a line")
+        except (ValueError, TypeError, KeyError, AttributeError, IndexError, OSError):
             self.handover.core.counters.add("in.link_bad")
             self.end()
 
@@ -96,14 +124,14 @@
                 raise ValueError("what is held is no less than nothing")
             self.sockets, self.readiness = int(state["sockets"]), str(state["readiness"])
             self.held = holds
-            self.handover.core.told_beside(api.Beside(holds))
+            self.handover.core.tell(api.Beside(holds))
             self.handover.changed()
         elif "learned" in said:
             learned = {
                 kind: {str(name): _floats(figures, FIGURES[kind]) for name, figures in of.items()}
                 for kind, of in said["learned"].items()
             }
-            self.handover.core.told_beside(api.Beside(self.held, learned))
+            self.handover.core.tell(api.Beside(self.held, learned))
         elif "serving" in said:
             self.serving = True
             self.put({"learned": self.handover.core.module.learned()})
@@ -111,6 +139,14 @@
         elif "news" in said:
             ask = int(said["ask"])
             self.handover.news_heard(self, said["news"], lambda status: self.put({"told": ask}))
+        elif "adopt" in said:
+            sock = socket.socket(fileno=self.came.popleft())
+            done = self.handover.take(said["adopt"], sock)
+            self.put({"adopted" if done else "refused": int(said["ask"])})
+        elif "adopted" in said:
+            self.given.pop(int(said["adopted"]))[1].close()
+        elif "refused" in said:
+            self.take_back(int(said["refused"]))
         elif "told" in said:
             reply, limit = self.asked.pop(int(said["told"]), (None, None))
             self.loop.deadlines.drop(limit)
@@ -119,6 +155,11 @@
         else:
             raise ValueError("no such message")
 
+    def take_back(self, number: int) -> None:
+        moved, sock = self.given.pop(number)
+        self.handover.stay.add(moved.wire_id)
+        self.handover.take(asdict(moved), sock)
+
     def ask(self, number: int, news: dict[str, Any], reply: Reply) -> None:
         """Pass a call-back on; it is answered once it has been taken."""
 
@@ -136,12 +177,18 @@
         if state != self.last_told or now > self.told_at + BEAT:
             self.last_told, self.told_at = state, now
             self.put({"state": state})
+        if self is self.handover.newer:
+            self.handover.give()
         self.look = self.loop.deadlines.set(now + TELL_EVERY, self.tell)
 
     def end(self) -> None:
         self.loop.deadlines.drop(self.limit)
         self.loop.deadlines.drop(self.look)
         self.conn.close()
+        for number in list(self.given):
+            self.take_back(number)
+        while self.came:
+            os.close(self.came.popleft())
         asked, self.asked = self.asked, {}
         for reply, limit in asked.values():
             self.loop.deadlines.drop(limit)
@@ -153,10 +200,12 @@
     """Knows the process that came before us and the one that comes after."""
 
     def __init__(
-        self, loop: Loop, core: Dispatcher, path: str, taken: Callable[[dict[str, Any]], bool],
-        state: Callable[[], dict[str, Any]], changed: Callable[[], None],
+        self, loop: Loop, core: Dispatcher, edge: Edge, path: str, taken: Callable[[dict[str, Any]], bool],
+        state: Callable[[], dict[str, Any]], changed: Callable[[], None], gives: Callable[[], bool],
     ) -> None:  # fmt: skip
-        self.loop, self.core, self.path = loop, core, path
+        self.loop, self.core, self.edge, self.path = loop, core, edge, path
+        self.gives = gives  # whether our successor is to have our jobs
+        self.stay: set[str] = set()  # jobs that could not go
         self.taken = taken  # whether a call-back is of an id that we know
         self.state, self.changed = state, changed
         self.older: Link | None = None
@@ -228,9 +277,38 @@
             return
         if self.older is None and self.newer is None:
             self.core.ids_beside.clear()
-        self.core.told_beside(api.Beside(gone=True))
+        self.core.tell(api.Beside(gone=True))
         self.changed()
 
+    def give(self) -> None:
+        """Hand our successor the jobs that can go to it."""
+        if not self.handed_over or not self.gives() or self.newer is None:
+            return
+        for flow in self.core.flows.all():
+            edge = self.edge.movable(flow)
+            if edge is None or flow.wire_id in self.stay:
+                continue
+            moved = hand_out(self.core, flow)
+            if moved is None:
+                continue
+            sock, self.asks = edge.conn.detach(), self.asks + 1
+            if not self.newer.put_socket({"adopt": asdict(moved), "ask": self.asks}, sock):
+                self.take(asdict(moved), sock)  # there is no room on the link: next time
+                return
+            self.newer.given[self.asks] = (moved, sock)
+
+    def take(self, said: dict[str, Any], sock: socket.socket) -> bool:
+        """Take in a job that the other hands us, or our own again."""
+        edge = self.edge.adopt(sock)
+        try:
+            flow = adopt(self.core, Moved(**said), edge)
+        except (ValueError, TypeError, AttributeError):
+            edge.conn.close()  # our descriptor alone: the other holds its own
+            return False
+        edge.flow = flow
+        self.edge.may_hold(edge)
+        return True
+
     def pass_on(self, news: dict[str, Any], reply: Reply) -> None:
         """A call-back of an id that we do not know: it may be the other's. Always answered."""
         links = [link for link in (self.older, self.newer) if link is not None and link.greeted]
--- a/eiderpin/net/loop.py
+++ b/eiderpin/net/loop.py
@@ -31,7 +31,7 @@
 
     __slots__ = (
         "loop", "sock", "number", "connecting", "closed", "unsent", "closing", "lingers", "on_open",
-        "on_data", "on_end", "on_flushed", "on_closed", "taken", "mask", "dropped", "end_at",
+        "on_data", "on_end", "on_flushed", "on_closed", "taken", "mask", "dropped", "end_at", "receive",
     )  # fmt: skip
 
     def __init__(self, loop: Loop, sock: socket.socket, connecting: bool) -> None:
@@ -50,6 +50,7 @@
         self.on_closed: Callable[[], None] = _nothing  # the descriptor is free again, whoever closed
         self.dropped = 0  # bytes read and dropped since we began to close
         self.end_at: Deadline | None = None
+        self.receive: Callable[[int], bytes] = sock.recv
         sock.setblocking(False)
         if sock.family == socket.AF_INET:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -74,7 +75,7 @@
                 self._drop_input()
                 return
             try:
-                data = self.sock.recv(CHUNK)
+                data = self.receive(CHUNK)
             except (BlockingIOError, InterruptedError):
                 return
             except OSError:
@@ -164,14 +165,17 @@
             self._end_within(LAST_WORDS)
 
     def close(self) -> None:
-        if self.closed:
-            return
+        if not self.closed:
+            self.detach().close()
+
+    def detach(self) -> socket.socket:
+        """Leave the socket to somebody else, as it is."""
         self.closed = True
         self.loop.connections.remove(self.number)
         self.loop.selector.unregister(self.sock)
-        self.sock.close()
         self.loop.deadlines.drop(self.end_at)
         self.on_closed()
+        return self.sock
 
 
 def _nothing() -> None:
--- a/eiderpin/net/workers.py
+++ b/eiderpin/net/workers.py
@@ -205,6 +205,11 @@
                 connection.conn.close()
                 self.lost(connection)
 
+    def may_move(self, scheduling: Scheduling) -> bool:
+        connection = scheduling.handle
+        tied = isinstance(connection, WorkerConnection) and connection.scheduling is scheduling
+        return scheduling.accepted and not tied
+
     # -- connections
 
     def _call(self, entry: ServiceEntry, request: bytes, probe_at: float | None) -> bool:
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -29,6 +29,7 @@
 LINGER = 600.0  # ms after SIGTERM in which new connections may still come
 SETTLE = 400.0  # ms after a drain in which the front may still send new clients: idle ones are not yet closed
 LATEST_BEGIN = 3000.0  # ms in which a new process takes the clients, whatever it has not heard by then
+OWN_END = 1000.0  # ms after SIGTERM in which jobs may end here; then a successor has them
 FEW_MORE = 6  # connections to workers that a process may add once its successor has the clients
 OWN = 16  # descriptors for standard streams, signals, listeners, discovery and chance
 FEW_SOCKETS = 96  # fewer cannot be shared out
@@ -199,8 +200,9 @@
             host, port = self.edge.listener.address
             path = os.path.join(tempfile.gettempdir(), f"eiderpin-{host}-{port}.link")
             self.handover = Handover(
-                self.loop, self.core, path, self.workers.take_news, self.state, self.changed
-            )
+                self.loop, self.core, self.edge, path, self.workers.take_news, self.state, self.changed,
+                self.gives,
+            )  # fmt: skip
             self.workers.not_ours = self.handover.pass_on
 
     # -- an old and a new process side by side
@@ -223,6 +225,11 @@
     def handed_over(self) -> bool:
         return self.handover is not None and self.handover.handed_over
 
+    def gives(self) -> bool:
+        """Whether our successor is to have our jobs: we may be killed before they end."""
+        since = self.stopping_since
+        return since is not None and self.clock.now() > since + OWN_END
+
     def changed(self) -> None:
         """What we know of the process beside us has changed, or what we were told to do."""
         if self.handed_at is not None and not self.handed_over:
@@ -355,6 +362,8 @@
     def may_end(self) -> bool:
         """Whether we may go once all is answered."""
         now, newer = self.clock.now(), self.handover.newer if self.handover is not None else None
+        if newer is not None and newer.given:
+            return False  # jobs on their way to it, which may have to come back
         if self.handed_at is not None and not len(self.edge.connections):
             return now > self.handed_at + LINGER
         if self.stopping_since is None or now < self.stopping_since + LINGER:
