--- a/eiderpin/net/edge.py
+++ b/eiderpin/net/edge.py
@@ -14,14 +14,14 @@
 from eiderpin.core.flows import Answer, Flow, SlotTable, Verdict
 from eiderpin.net import http
 from eiderpin.net.loop import Connection, Listener, Loop
+from eiderpin.net.room import Room, Spare
 
 SWEEP = 5000.0  # ms between looks for edge connections that have stood too long
 IDLE_LIMIT = 120_000.0  # ms
 UNREAD_LIMIT = 15_000.0  # ms in which a client must take something of its answer
-WHOLE_LIMIT = 2400.0  # ms, from the connection or a request's first byte, in which it must have come whole
+WHOLE_LIMIT = 2850.0  # ms, from the connection or a request's first byte, in which it must have come whole:
+# slow clients take over 2 s, and who never ends one is owed an error within 3 s
 NO_FLOW = Flow("", "", b"", b"", 0.0)
-FRESH = 150.0  # ms for which a connection is not closed to make room: its request is on its way
-LOOKS_APART = 10.0  # ms between looks for room: each one costs a look at every connection
 MOST_WAITING = 8  # requests sent ahead on one edge connection
 MOST_DEADLINE = 600_000.0  # ms
 # An id goes on to workers in a header and in the target of a cancel.
@@ -46,7 +46,7 @@
 
     __slots__ = (
         "front", "conn", "reader", "waiting", "flow", "last", "number", "keep", "busy", "served", "limit",
-        "held", "worked", "calls_back",
+        "held", "worked", "calls_back", "spare",
     )  # fmt: skip
 
     def __init__(self, front: Edge, conn: Connection) -> None:
@@ -67,6 +67,25 @@
         self.limit: Deadline | None = None
         self.set_limit()
         conn.on_data, conn.on_end, conn.on_closed = self.data, self.end, self.closed
+        self.spare: Spare | None = None
+        conn.on_flushed = self.file
+        self.file()
+
+    def file(self) -> None:
+        """Note whether it may be closed to make room, and how soon."""
+        spare: Spare | None = None
+        if self.conn.closed or self.busy or self.waiting:
+            spare = None
+        elif self.conn.closing:
+            spare = Spare.REFUSED
+        elif not self.conn.unsent:
+            if not self.reader.idle:
+                spare = Spare.HALF
+            elif self.worked:
+                spare = Spare.KEPT
+            else:
+                spare = Spare.ASKED if self.served else Spare.SILENT
+        self.front.room.file(self, spare)
 
     @property
     def idle(self) -> bool:
@@ -105,6 +124,10 @@
 
     def data(self, data: bytes) -> None:
         self.last = self.front.loop.clock.now()
+        self.take_in(data)
+        self.file()
+
+    def take_in(self, data: bytes) -> None:
         try:
             came = self.reader.feed(data)
         except http.BadMessage as error:
@@ -135,7 +158,8 @@
             self.front.serve(self, message)
 
     def reply(self, status: int, body: bytes = b"", headers: tuple[str, ...] = ()) -> None:
-        self.busy, self.served, self.flow = False, True, None
+        self.busy, self.served = False, True
+        self.hold(None)
         if self.conn.closed:
             return
         self.last = self.front.loop.clock.now()
@@ -149,6 +173,12 @@
         self.front.may_hold(self)
         if self.waiting:
             self.next()
+        self.file()
+
+    def hold(self, flow: Flow | None) -> None:
+        """It waits for this flow's answer; None: for none."""
+        self.front.jobs += (flow is not None) - (self.flow is not None)
+        self.flow = flow
 
     def refuse_more(self) -> None:
         """Nothing more is taken here. A job under way is still answered; it may have run by now."""
@@ -186,7 +216,8 @@
     # the end
 
     def leave(self) -> None:
-        flow, self.flow = self.flow, None
+        flow = self.flow
+        self.hold(None)
         if flow is not None:
             self.front.core.leave(flow, self)
 
@@ -197,25 +228,15 @@
     def close(self, linger: bool = False) -> None:
         self.drop_limit()
         self.conn.close_when_sent(linger)
+        self.file()
 
     def closed(self) -> None:
-        """Its descriptor is free again."""
+        """Its descriptor is free again, or another process's."""
         self.drop_limit()
         self.waiting.clear()
+        self.file()
         self.front.forget(self)
 
-    def spare(self, now: float) -> int | None:
-        """How soon it may be closed to make room, the lowest first; None where it may not."""
-        if self.busy or self.waiting or now - self.last < FRESH:
-            return None
-        if self.conn.closing:
-            return 0
-        if self.conn.unsent or _has_input(self.conn.sock):
-            return None
-        if self.worked:
-            return 2 if self.reader.idle else None
-        return 1
-
 
 class Edge:
     """The listener of clients and call-backs."""
@@ -237,7 +258,8 @@
         self.most = most  # jobs that may be waited for
         self.extra = extra  # connections past those, for call-backs and for those who say nothing
         self.memory, self.held = memory, 0  # bytes of requests that may be held, and are
-        self.looked_at = 0.0  # when room was last made
+        self.jobs = 0  # connections that wait for a flow's answer
+        self.room: Room[EdgeConnection] = Room()
         self.away = Away.NOBODY
         self.away_at = math.inf  # when the first look for idle connections is, or was
         self.away_look: Deadline | None = None
@@ -256,25 +278,19 @@
             self.listener.rest()
 
     def make_room(self) -> bool:
-        """Close those who can be spared: who was refused and stays, who says nothing, who asked for no more
-        than our health; only where there are no others one kept-alive connection: its client opens another
-        when it needs one. Returns whether there is room now."""
+        """Close those who can best be spared, no more than needed; a kept-alive one only at the very limit.
+        Returns whether there is room now."""
         now = self.loop.clock.now()
-        if now < self.looked_at + LOOKS_APART:
-            return len(self.connections) < self.most + self.extra
-        self.looked_at = now
-        ranks = [(rank, e.last, e.number) for e in self.connections.all()
-                 if (rank := e.spare(now)) is not None]  # fmt: skip
-        ranks.sort()
-        few = [number for rank, _, number in ranks if rank < 2]
-        others = any(e.conn.closing or not (e.worked or e.busy) for e in self.connections.all())
-        if not others and len(self.connections) >= self.most + self.extra:
-            few = [number for _, _, number in ranks[:1]]
-        for number in few:
-            edge = self.connections.get(number)
-            if edge is not None:
-                self.counters.add("in.made_room")
-                edge.conn.close()
+        while len(self.connections) >= self.most + self.extra // 2:
+            edge = self.room.next(now)
+            if edge is None or (edge.spare is Spare.KEPT and len(self.connections) < self.most + self.extra):
+                break
+            if not edge.conn.closing and _has_input(edge.conn.sock):
+                edge.last = now  # it is about to be read
+                edge.file()
+                continue
+            self.counters.add("in.made_room")
+            edge.conn.close()
         return len(self.connections) < self.most + self.extra
 
     def movable(self, flow: Flow) -> EdgeConnection | None:
@@ -291,6 +307,7 @@
         edge.number = self.connections.add(edge)
         edge.drop_limit()
         edge.busy = edge.served = edge.worked = True
+        edge.file()
         return edge
 
     def forget(self, edge: EdgeConnection) -> None:
@@ -332,6 +349,7 @@
     def look_for_idle(self) -> None:
         now = self.loop.clock.now()
         self.loop.deadlines.drop(self.away_look)
+        refuses = self.away is Away.CLIENTS and now >= self.away_at + HALF_SENT
         if now >= self.away_at:
             for edge in self.connections.all():
                 if not edge.sent_away or edge.conn.closing or _has_input(edge.conn.sock):
@@ -339,14 +357,16 @@
                 # The first request of a new connection is on its way, and is answered.
                 if edge.idle and (edge.served or now - edge.last > ON_ITS_WAY):
                     edge.close()
-                elif now >= self.away_at + HALF_SENT and not edge.busy and not edge.reader.idle:
+                elif refuses and edge.spare is Spare.HALF:
                     edge.refuse_more()
         self.away_look = self.loop.deadlines.set(max(now + AWAY_EVERY, self.away_at), self.look_for_idle)
 
-    @property
-    def quiet(self) -> bool:
+    def quiet(self, halves: bool) -> bool:
+        """Whether nobody is owed anything here; with `halves`, nor is a request still on its way."""
         return not any(
-            (e.busy or e.waiting or e.conn.unsent) and not e.conn.closed for e in self.connections.all()
+            (e.busy or e.waiting or e.conn.unsent or (halves and not e.reader.idle and not e.conn.closing))
+            and not e.conn.closed
+            for e in self.connections.all()
         )
 
     # -- requests
@@ -383,7 +403,7 @@
     def take(self, edge: EdgeConnection, cls: str, message: http.Message) -> None:
         try:
             flow = make_flow(cls, message, self.loop.clock.now(), self.core.classes[cls].deadline)
-            if sum(e.flow is not None for e in self.connections.all()) >= self.most:
+            if self.jobs >= self.most:
                 self.counters.add("in.over_connections")
                 edge.turn_down(cls)
                 return
@@ -398,7 +418,7 @@
             return
         edge.worked, edge.calls_back = True, False
         if edge.busy and not joined.ended:
-            edge.flow = joined
+            edge.hold(joined)
             self.may_hold(edge)
 
 
--- a/eiderpin/net/handover.py
+++ b/eiderpin/net/handover.py
@@ -291,6 +291,7 @@
             moved = hand_out(self.core, flow)
             if moved is None:
                 continue
+            edge.hold(None)
             sock, self.asks = edge.conn.detach(), self.asks + 1
             if not self.newer.put_socket({"adopt": asdict(moved), "ask": self.asks}, sock):
                 self.take(asdict(moved), sock)  # there is no room on the link: next time
@@ -305,7 +306,7 @@
         except (ValueError, TypeError, AttributeError):
             edge.conn.close()  # our descriptor alone: the other holds its own
             return False
-        edge.flow = flow
+        edge.hold(flow)
         self.edge.may_hold(edge)
         return True
 
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -28,6 +28,7 @@
 
 LINGER = 600.0  # ms after SIGTERM in which new connections may still come
 SETTLE = 400.0  # ms after a drain in which the front may still send new clients: idle ones are not yet closed
+HALVES = 3000.0  # ms after SIGTERM for which requests that are half sent are waited for
 LATEST_BEGIN = 3000.0  # ms in which a new process takes the clients, whatever it has not heard by then
 OWN_END = 1000.0  # ms after SIGTERM in which jobs may end here; then a successor has them
 FEW_MORE = 6  # connections to workers that a process may add once its successor has the clients
@@ -355,7 +356,9 @@
     def over(self) -> bool:
         if not self.may_end():
             return False
-        if any(not f.ended for f in self.core.flows.all()) or not self.edge.quiet:
+        # A job that is half sent is worth the wait, but those who begin one and stay must not keep us.
+        halves = self.stopping_since is not None and self.clock.now() < self.stopping_since + HALVES
+        if any(not f.ended for f in self.core.flows.all()) or not self.edge.quiet(halves):
             return False
         return self.gearman is None or not any(c.conn.unsent for c in self.gearman.connections.all())
 
@@ -389,6 +392,8 @@
         self.say(f"{self.config.name} listens {self.addresses()}")
         while not self.over():
             self.turn()
+        for number in SIGNALS:
+            signal.signal(number, signal.SIG_IGN)  # one more must not make a planned end a killed one
         self.say("ends, all is answered")
         self.print_counters()
 
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -16,6 +16,7 @@
 import unittest
 from typing import Any
 
+from eiderpin.net.room import Room, Spare
 from tests.standins import SETTINGS, Discovery, HttpWorker, http_call, running, wait_for
 
 
@@ -340,6 +341,41 @@
                     self.assertIn(b"200 OK", sock.recv(65536))
                 self.assertGreater(program.counters()["in.made_room"], 100)
 
+    def test_a_job_sent_in_pieces_outlasts_a_crowd_of_halves(self) -> None:
+        """Its pieces come for over 2 s, while more than there is room for begin a request and stay."""
+        worker = HttpWorker("h1")
+        with running([worker], limits={"sockets": 96}) as (program, _), contextlib.ExitStack() as held:
+            host, port = program.edge.split(":")
+            slow = held.enter_context(socket.create_connection((host, int(port)), timeout=20))
+            whole = b"POST /time-lookup HTTP/1.1\r\nReq-Id: slow\r\nContent-Length: 10\r\n\r\n0123456789"
+            step = len(whole) // 5
+            start = time.monotonic()
+            for i in range(6):
+                for _ in range(20):
+                    half = held.enter_context(socket.create_connection((host, int(port)), timeout=20))
+                    half.sendall(whole[:20])
+                slow.sendall(whole[i * step : (i + 1) * step] if i < 5 else whole[5 * step :])
+                time.sleep(max(0.0, start + 0.45 * (i + 1) - time.monotonic()) if i < 5 else 0)
+            self.assertGreater(time.monotonic() - start, 2.2)
+            self.assertIn(b"slow", slow.recv(65536))
+            self.assertGreater(program.counters()["in.made_room"], 0)
+
+    def test_room_is_made_in_order_and_no_sooner_than_needed(self) -> None:
+        class One:
+            def __init__(self, last: float) -> None:
+                self.last, self.spare = last, None
+
+        room: Room[Any] = Room()
+        kept, half, silent, refused, fresh = (One(x) for x in (0.0, 100.0, 200.0, 300.0, 900.0))
+        for one, spare in ((kept, Spare.KEPT), (half, Spare.HALF), (silent, Spare.SILENT),
+                           (refused, Spare.REFUSED), (fresh, Spare.SILENT)):  # fmt: skip
+            room.file(one, spare)
+        self.assertIsNone(room.next(140.0))  # one that is kept does not go before others that are fresh
+        for one, now in ((refused, 500.0), (silent, 500.0), (fresh, 1100.0), (half, 1100.0), (kept, 1100.0)):
+            self.assertIs(room.next(now), one)
+            room.file(one, None)
+        self.assertIsNone(room.next(1e9))
+
     def test_bodies_past_the_memory_for_them_are_turned_down(self) -> None:
         worker = HttpWorker("h1", never)
         with running([worker], limits={"sockets": 1024, "memory_mb": 16}) as (program, _):
@@ -435,6 +471,19 @@
             self.assertIn("answer.result-post.succeeded 2", program.lines)
 
 
+    def test_sigterm_waits_for_a_job_that_is_half_sent(self) -> None:
+        with running([HttpWorker("h1")]) as (program, _):
+            host, port = program.edge.split(":")
+            whole = b"POST /time-lookup HTTP/1.1\r\nReq-Id: h\r\nContent-Length: 4\r\n\r\nbody"
+            with socket.create_connection((host, int(port)), timeout=20) as sock:
+                sock.sendall(whole[:-4])
+                program.counters()
+                program.process.send_signal(signal.SIGTERM)
+                time.sleep(1.2)  # without it the program would have ended by now
+                sock.sendall(whole[-4:])
+                self.assertIn(b"200 OK", sock.recv(65536))
+
+
 class Reloading(unittest.TestCase):
     def test_the_watch_moves_and_all_else_stays(self) -> None:
         """Under way: a job, and a client's connection. The new address has other workers, and generations
