--- a/eiderpin/net/handover.py
+++ b/eiderpin/net/handover.py
@@ -237,6 +237,7 @@
             with contextlib.suppress(FileNotFoundError):
                 os.unlink(own)  # of a killed process that had our number
             sock.bind(_short(own))
+            os.chmod(own, 0o600)  # the folder may be others' too
             sock.listen(8)
             os.rename(own, self.path)
         except OSError:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -277,7 +277,7 @@
     """The program itself, in a process of its own, with the fronts that are asked for."""
 
     def __init__(
-        self, discovery: Discovery, optimized: bool = True, fronts: tuple[str, ...] = (),
+        self, discovery: Discovery, optimized: bool = True, fronts: tuple[str, ...] | dict[str, str] = (),
         inherits: Inherited | None = None, **config: Any,
     ) -> None:  # fmt: skip
         self.folder = tempfile.TemporaryDirectory()
@@ -288,7 +288,10 @@
         }  # fmt: skip
         self.said, self.config = said, path / "config.json"
         self.config.write_text(json.dumps(said))
-        (path / "fronts.json").write_text(json.dumps({f: {"listen": "127.0.0.1:0"} for f in fronts}))
+        listen = fronts if isinstance(fronts, dict) else dict.fromkeys(fronts, "127.0.0.1:0")
+        (path / "fronts.json").write_text(
+            json.dumps({f: {"listen": at} for f, at in listen.items()})
+        )
         env = {**os.environ, "GW_CONFIG": str(path / "config.json"),
                "EIDERPIN_FRONTS": str(path / "fronts.json")}  # fmt: skip
         pass_fds: tuple[int, ...] = ()
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -11,6 +11,27 @@
 CHUNKED = POST + b"Transfer-Encoding: chunked\r\n"
 
 
+class Cut(unittest.TestCase):
+    def test_messages_come_whole_wherever_they_are_cut(self) -> None:
+        head = b"Host: service.internal\r\nReq-Id: a1\r\nContent-Length: 4\r\n\r\nbody"
+        requests = POST + head + CHUNKED + b"Req-Id: a2\r\n\r\n4\r\nbody\r\n" + END + POST + head
+        answers = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+        answers += b"HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 4\r\n\r\nbody"
+        answers += b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n" + END
+        readers: list[tuple[type[http.RequestReader | http.ResponseReader], bytes]] = [
+            (http.RequestReader, requests), (http.ResponseReader, answers),
+        ]  # fmt: skip
+        for kind, stream in readers:
+            whole = kind().feed(stream)
+            self.assertEqual(len(whole), 3)
+            cuts = [[stream[:i], stream[i:]] for i in range(1, len(stream))]
+            cuts.append([stream[i : i + 1] for i in range(len(stream))])
+            for pieces in cuts:
+                with self.subTest(kind=kind.__name__, first=len(pieces[0]), pieces=len(pieces)):
+                    reader = kind()
+                    self.assertEqual([m for piece in pieces for m in reader.feed(piece)], whole)
+
+
 class Reading(unittest.TestCase):
     def test_what_may_hide_a_request_or_cannot_be_read_is_bad(self) -> None:
         cases = [
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -8,13 +8,15 @@
 import signal
 import socket
 import threading
+import time
 import unittest
 from collections.abc import Iterator
 from typing import Any
 from unittest import mock
 
 from eiderpin import service
-from tests.standins import Discovery, HttpWorker, Inherited, Program, http_call, wait_for
+from eiderpin.net.gearman import Kind
+from tests.standins import Discovery, GearmanPeer, HttpWorker, Inherited, Program, http_call, wait_for
 from tests.test_operators import ASK, DOOR, answer, call, caller, figures, rest
 
 
@@ -139,6 +141,29 @@
             for sock in slow:
                 sock.close()
 
+    def test_further_fronts_go_over_too(self) -> None:
+        with side() as it:
+            old = it.serving(fronts=("gearman", "agent_check"))
+            at = {"gearman": old.at["gearman"], "agent_check": old.at["agent-check"]}
+            waiting = GearmanPeer(at["gearman"])
+            waiting.ask(Kind.SUBMIT_JOB, b"result-post", b"s1", b"")
+            wait_for(lambda: it.held.worker.ran, "the Gearman job to be out")
+            new = it.serving(fronts=at)
+            said(old, TOOK)
+            old.process.send_signal(signal.SIGTERM)
+            for _ in range(5):
+                self.assertRegex(rest(caller(at["agent_check"])), rb"^up ")
+            client = GearmanPeer(at["gearman"])
+            client.put(Kind.SUBMIT_JOB, b"time-lookup", b"q2", b"")
+            self.assertEqual(client.until(Kind.WORK_COMPLETE).args[1][-6:], b"ran q2")
+            self.assertEqual(figures(new.at["management"])["results"]["time-lookup"]["succeeded"], 1)
+            # A Gearman client's job stays where it is, and is answered there.
+            it.held.go.set()
+            self.assertEqual(waiting.until(Kind.WORK_COMPLETE).args[1][-6:], b"ran s1")
+            self.assertEqual(old.process.wait(20), 0)
+            client.close()
+            waiting.close()
+
     def test_the_old_process_serves_on_when_the_new_one_is_killed(self) -> None:
         with side() as it:
             old = it.serving()
@@ -180,6 +205,19 @@
             self.assertEqual(new.process.wait(20), 0)
             self.assertTrue(call(old.at["management"], b"ready\n").startswith("ok"))
 
+    def test_an_old_process_told_to_end_serves_until_the_new_one_can(self) -> None:
+        with side() as it:
+            old = it.serving()
+            it.discovery.silent = True
+            new = it.start()
+            old.process.send_signal(signal.SIGTERM)
+            time.sleep(1.0)  # alone it would have ended by now
+            self.assertEqual(http_call(old.edge, "POST", "/time-lookup", Req_Id="q1")[0], 200)
+            it.discovery.silent = False
+            self.assertEqual(old.process.wait(20), 0)
+            wait_for(lambda: call(new.at["management"], b"ready\n").startswith("ok"), "it to serve")
+            self.assertEqual(http_call(new.edge, "POST", "/time-lookup", Req_Id="q2")[0], 200)
+
     def test_nonsense_on_the_link_harms_nobody(self) -> None:
         hello = b'{"hello":1,"ids":[]}\n'
         cases = [
