--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -83,6 +83,9 @@
 # made room for it may be told on another connection, and after it
 TRIAL_MISSES = 3  # ... and so many such starts, or turn-downs, end the trials of one slot more
 COLD_MARGIN = 0.5  # share of a cold worker's budget that is used; the rest is for chance and misjudged work
+FAULT_GAIN, SOUND_GAIN = 0.3, 0.1  # weight of a new failure, and of a new success, in a worker's fault ...
+FAULTY = 0.35  # ... from which on, so after two failures, it is not sent a job that must not run twice ...
+FAULT_MEMORY = 20.0  # ... until the fault has faded, with this many mean run times
 SPAN_MARGIN = 0.9  # share of a memory span in which a guarded repeat is still sent
 
 
@@ -145,7 +148,7 @@
         "name", "zone", "shape", "shape_name", "cell", "rating", "size", "born", "state", "ready", "out",
         "ours", "others", "others_at", "slow", "slow_at", "pace", "failures", "trial", "rest_until",
         "cold_until", "cold_spent", "pools", "ended", "classes", "known_slots", "heard", "shuns",
-        "beside", "beside_cold",
+        "beside", "beside_cold", "fault", "fault_at",
     )  # fmt: skip
 
     def __init__(self, entry: WorkerEntry, shape: Shape) -> None:
@@ -164,6 +167,7 @@
         self.pace = Pace()
         self.slow_at = 0.0
         self.failures = 0  # in a row
+        self.fault = self.fault_at = 0.0  # how often attempts have failed here, lately
         self.trial = False  # back from a rest: one attempt at a time until one succeeds
         self.rest_until = 0.0
         self.cold_until = 0.0
@@ -457,7 +461,7 @@
         if entry.born and entry.born != worker.born:
             # A new process: what was learned of the old one is void, and it starts cold.
             worker.failures, worker.trial, worker.rest_until = 0, False, 0.0
-            worker.others, worker.slow, worker.pace = -1.0, 1.0, Pace()
+            worker.others, worker.slow, worker.pace, worker.fault = -1.0, 1.0, Pace(), 0.0
         worker.born = entry.born
         if entry.born and entry.born + self.s.warm_up > self.now:
             worker.cold_until = entry.born + self.s.warm_up
@@ -840,8 +844,27 @@
             and self.room(worker, job.need, self.latest_start(job) < self.now)
             and self.in_time(worker, job)
             and self.cold_allows(worker, job)
+            and (job.spec.repeat is not Repeat.SINGLE_SHOT or not self.faulty(worker))
         )
 
+    def faulty(self, worker: Worker) -> bool:
+        """Whether attempts fail here so often that a job which cannot go elsewhere afterwards is kept away.
+        Jobs that can find out when it is sound. Where many workers fail, it is not them: all are used."""
+        if self.fault_of(worker) < FAULTY:
+            return False
+        items = self.everyone.items
+        return sum(self.fault_of(w) >= FAULTY for w in items) <= KEEP_SHARE * len(items)
+
+    def fault_of(self, worker: Worker) -> float:
+        if not worker.fault:
+            return 0.0
+        return worker.fault * math.exp(-(self.now - worker.fault_at) / (FAULT_MEMORY * self.run_mean))
+
+    def hear_fault(self, worker: Worker, failed: bool) -> None:
+        fault = self.fault_of(worker)
+        worker.fault = fault + FAULT_GAIN * (1.0 - fault) if failed else fault - SOUND_GAIN * fault
+        worker.fault_at = self.now
+
     def in_time(self, worker: Worker, job: Job) -> bool:
         """Whether the job would end within its aim here, or would not at typical speed either.
 
@@ -1022,9 +1045,10 @@
                 if slots:
                     self.set_slots(shape, slots)
                 shape.misses, shape.slow, shape.pace.run, shape.pace.work = int(misses), slow, run, work
-        for name, (slow, run, work) in learned.get("workers", {}).items():
+        for name, (slow, run, work, fault) in learned.get("workers", {}).items():
             worker = self.workers.get(name)
             if worker is not None:
+                worker.fault, worker.fault_at = fault, self.now
                 worker.slow, worker.slow_at, worker.pace.run, worker.pace.work = slow, self.now, run, work
         for mean, run, work in learned.get("fleet", {}).values():
             self.run_mean, self.pace.run, self.pace.work = mean, run, work
@@ -1047,7 +1071,10 @@
             "shapes": {
                 name: (s.slots, s.misses, s.slow, s.pace.run, s.pace.work) for name, s in self.shapes.items()
             },
-            "workers": {n: (w.slow, w.pace.run, w.pace.work) for n, w in self.workers.items() if w.pace.work},
+            "workers": {
+                name: (w.slow, w.pace.run, w.pace.work, self.fault_of(w))
+                for name, w in self.workers.items() if w.pace.work or w.fault
+            },
             "fleet": {"": (self.run_mean, self.pace.run, self.pace.work)},
         }
 
@@ -1090,6 +1117,8 @@
         worker = attempt.worker
         if event.report is not None:
             self.learn_report(worker, event.report)
+        if event.outcome in (Outcome.DONE, Outcome.ERROR):
+            self.hear_fault(worker, event.outcome is Outcome.ERROR)
         if event.outcome is Outcome.DONE:
             if worker.trial or worker.failures:
                 worker.failures, worker.trial = 0, False
--- a/tests/test_beside.py
+++ b/tests/test_beside.py
@@ -59,12 +59,13 @@
     settings = make_settings(tells_start=True, ratings=False, instances=1)
     old, new = started(settings), started(settings)
     assert old.learned() == {}
-    old.learn_from({"shapes": {"std": (7.0, 3.0, 1.5, 900.0, 600.0)}, "workers": {"w1": (2.0, 4.0, 2.0)},
+    old.learn_from({"shapes": {"std": (7.0, 3.0, 1.5, 900.0, 600.0)}, "workers": {"w1": (2.0, 4.0, 2.0, 0.5)},
                     "fleet": {"": (800.0, 900.0, 600.0)}})  # fmt: skip
     new.handle(1005.0, [api.Beside({}, old.learned())])
     for d in (old, new):
         facts = d.explain_worker("w1")
         assert (facts["slots"], facts["slowness"]) == (7.0, pytest.approx(3.0))
+        assert d.faulty(d.workers["w1"])
         assert (d.run_mean, d.slow_mean, d.shapes["std"].misses) == (800.0, 1.5, 3)
     new.handle(1006.0, [api.Beside({}, {"shapes": {"std": (2.0, 0.0, 9.0, 9.0, 1.0)}})])
     assert new.explain_worker("w0")["slots"] == 7.0
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -153,3 +153,24 @@
     play.do(api.StreamStarted(7, 0, sent.worker))
     assert not finals(play.run(9000))
     assert not finals(play.do(ended(sent, api.Outcome.DONE, final=True)))
+
+
+def test_a_worker_that_fails_now_and_then_gets_no_job_that_must_not_run_twice() -> None:
+    """Its rests are short, for some of its jobs go well; a job that may go elsewhere still finds it out."""
+    settings = make_settings(instances=1)
+    for cls, there in (("pay", False), ("read", True)):
+        play = Play(settings, fleet(8))
+        worker = play.d.workers["w3"]
+        play.d.hear_fault(worker, True)
+        assert not play.d.faulty(worker)  # once is chance
+        play.d.hear_fault(worker, True)
+        got = [a for n in range(25) for a in play.do(api.Request(n, cls, 4000, hint=1.0)) + play.run(40)]
+        sent = {a.worker for a in sends(got)}
+        assert (worker.name in sent) is there, cls
+        assert len(sent) >= 6
+        for _ in range(8):
+            play.d.hear_fault(worker, False)
+        assert not play.d.faulty(worker)
+        for name in ("w1", "w1", "w2", "w2", "w3", "w3"):  # over a quarter of them: it is not the workers
+            play.d.hear_fault(play.d.workers[name], True)
+        assert not play.d.faulty(worker)
