--- a/tests/standins.py
+++ b/tests/standins.py
@@ -184,6 +184,15 @@
         conn.close()
 
 
+def rest(sock: socket.socket) -> bytes:
+    """What still comes, until the connection ends."""
+    got = b""
+    with contextlib.suppress(ConnectionResetError):
+        while more := sock.recv(65536):
+            got += more
+    return got
+
+
 class GearmanPeer:
     """A client's or a worker's end of the Gearman protocol."""
 
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -17,21 +17,15 @@
 from typing import Any
 
 from eiderpin.net.room import Room, Spare
-from tests.standins import SETTINGS, Discovery, HttpWorker, http_call, running, wait_for
+from tests.standins import SETTINGS, Discovery, HttpWorker, http_call, rest, running, wait_for
 
 
 def raw(address: str, data: bytes) -> bytes:
     """What comes back for these bytes, until the connection ends."""
     host, port = address.split(":")
-    got = b""
     with socket.create_connection((host, int(port)), timeout=20) as sock:
         sock.sendall(data)
-        try:
-            while more := sock.recv(65536):
-                got += more
-        except ConnectionResetError:
-            pass
-    return got
+        return rest(sock)
 
 
 def never(worker: HttpWorker, rid: str, handler: Any) -> None:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -13,7 +13,7 @@
 
 from eiderpin import service
 from eiderpin.net.gearman import Kind
-from tests.standins import SETTINGS, GearmanPeer, HttpWorker, Program, http_call, running, wait_for
+from tests.standins import SETTINGS, GearmanPeer, HttpWorker, Program, http_call, rest, running, wait_for
 
 DOOR = "127.0.0.1:0"
 
@@ -23,17 +23,6 @@
     return socket.create_connection((host, int(port)), timeout=20)
 
 
-def rest(sock: socket.socket) -> bytes:
-    """What still comes, until the connection ends."""
-    got = b""
-    try:
-        while more := sock.recv(65536):
-            got += more
-    except ConnectionResetError:
-        pass
-    return got
-
-
 def call(address: str, *pieces: bytes) -> str:
     with caller(address) as sock:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -16,8 +16,8 @@
 
 from eiderpin import service
 from eiderpin.net.gearman import Kind
-from tests.standins import Discovery, GearmanPeer, HttpWorker, Inherited, Program, http_call, wait_for
-from tests.test_operators import ASK, DOOR, answer, call, caller, figures, rest
+from tests.standins import Discovery, GearmanPeer, HttpWorker, Inherited, Program, http_call, rest, wait_for
+from tests.test_operators import ASK, DOOR, answer, call, caller, figures
 
 
 class Held:
@@ -141,6 +141,24 @@
             for sock in slow:
                 sock.close()
 
+    def test_both_start_and_share_the_fewest_descriptors(self) -> None:
+        least = {"sockets": 96, "memory_mb": 16}
+        with side() as it:
+            old = it.serving(limits=least)
+            slow = [it.ask(b"s%d" % i) for i in range(4)]
+            new = it.serving(limits=least)
+            said(old, TOOK)
+            more = [caller(new.edge) for _ in range(60)]
+            for i, sock in enumerate(more):
+                sock.sendall(ASK.replace(b"time-lookup", b"result-post") % b"m%d" % i)
+            wait_for(lambda: figures(new.at["management"])["outstanding"] >= 10, "jobs to be taken")
+            both = sum(len(os.listdir(f"/proc/{p.process.pid}/fd")) for p in (old, new))
+            self.assertLessEqual(both, 96)
+            it.held.go.set()
+            self.assertEqual([answer(sock)[-6:] for sock in slow], [b"ran s%d" % i for i in range(4)])
+            for sock in slow + more:
+                sock.close()
+
     def test_further_fronts_go_over_too(self) -> None:
         with side() as it:
             old = it.serving(fronts=("gearman", "agent_check"))
