--- a/eiderpin/net/handover.py
+++ b/eiderpin/net/handover.py
@@ -3,7 +3,8 @@
 The new process connects to its predecessor's socket. What they say, either way but for `serving`:
 
     {"hello": 1, "ids": [...]}      first of all; the ids of jobs under way
-    {"serving": true}               the new one accepts clients from now on; the old one stops
+    {"serving": true, "published": [...]}   the new one accepts clients from now on; the old one stops.
+                                    The second tells its socket's file from any other
     {"learned": {...}}              what the decisions of the older one have learned; once
     {"state": {...}}                what I hold: on workers, of descriptors; and my readiness
     {"adopt": {...}, "ask": 7}      a job, and with this line its client's socket; answered by
@@ -44,8 +45,10 @@
 MOST_LINE = 4 << 20
 MOST_IDS = 20_000
 MOST_STRANGERS = 4  # connections that have not said hello
+LOOKS, LOOK_AGAIN = 4, 50.0  # how often a starting process looks for its predecessor, and ms in between
 
 Reply = Callable[[int], None]
+Identity = tuple[int, int, int]  # device, inode and birth of a file
 
 
 class Link:
@@ -56,6 +59,7 @@
         self.older = older  # the other end is the older process
         self.greeted = False
         self.serving = False  # the newer one there accepts clients
+        self.published: Identity | None = None  # the file of the newer one's socket
         self.readiness = ""
         self.sockets = 0  # descriptors that it uses
         self.held: dict[str, tuple[float, float]] = {}
@@ -134,6 +138,8 @@
             self.handover.core.tell(api.Beside(self.held, learned))
         elif "serving" in said:
             self.serving = True
+            published = said.get("published")
+            self.published = _identity_from(published) if published is not None else None
             self.put({"learned": self.handover.core.module.learned()})
             self.handover.changed()
         elif "news" in said:
@@ -213,9 +219,25 @@
         self.strangers: list[Link] = []
         self.asks = 0
         self.listener: Listener | None = None
-        conn = loop.connect(_short(path))
+        self.published: Identity | None = None  # the file of our own socket
+        self.looks_left = LOOKS
+        self.again: Deadline | None = None  # when a predecessor is looked for once more
+        self.find()
+
+    def find(self) -> None:
+        """Look for our predecessor. A file behind which nobody answers may be of one that was killed, or of a
+        dying one whose place another is about to take: that other is worth a few looks."""
+        self.again = None
+        conn = self.loop.connect(_short(self.path))
         if conn is not None:
             self.older = Link(self, conn, older=True)
+        elif _identity(self.path) is not None:
+            self.find_again()
+
+    def find_again(self) -> None:
+        self.looks_left -= 1
+        if self.looks_left > 0:
+            self.again = self.loop.deadlines.set(self.loop.clock.now() + LOOK_AGAIN, self.find)
 
     @property
     def handed_over(self) -> bool:
@@ -227,7 +249,7 @@
         self.publish()
         if self.older is not None:
             self.older.put({"state": self.state()})  # our readiness is passed on from now on
-            self.older.put({"serving": True})
+            self.older.put({"serving": True, "published": self.published})
 
     def publish(self) -> None:
         """Put our socket where the next process looks for it; by a rename, so that there always is one."""
@@ -239,6 +261,7 @@
             sock.bind(_short(own))
             os.chmod(own, 0o600)  # the folder may be others' too
             sock.listen(8)
+            self.published = _identity(own)
             os.rename(own, self.path)
         except OSError:
             sock.close()
@@ -270,10 +293,14 @@
             return
         if link is self.older:
             self.older = None
+            if not link.greeted and self.listener is None:
+                self.find_again()  # it was ending, and never spoke to us
         elif link is self.newer:
             self.newer = None
-            if link.serving and not _answers(self.path):
-                self.publish()  # its file is no use any more
+            # Whether it still answers there says nothing: one that ends may close its listener last. What
+            # counts is whose file stands there. A third process's stays, for that one has the clients.
+            if link.serving and (link.published is None or _identity(self.path) in (None, link.published)):
+                self.publish()
         else:
             return
         if self.older is None and self.newer is None:
@@ -362,8 +389,15 @@
     return os.open(folder, os.O_PATH)
 
 
-def _answers(path: str) -> bool:
-    """Whether some process listens there."""
-    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
-        sock.setblocking(False)
-        return sock.connect_ex(_short(path)) == 0
+def _identity(path: str) -> Identity | None:
+    """What tells this file from any that takes its name later; None where there is none."""
+    try:
+        found = os.lstat(path)
+    except OSError:
+        return None
+    return found.st_dev, found.st_ino, found.st_mtime_ns
+
+
+def _identity_from(said: Any) -> Identity:
+    device, inode, born = (int(x) for x in said)
+    return device, inode, born
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -212,7 +212,7 @@
         """Whether we can serve, so that a predecessor may go."""
         older = self.handover.older if self.handover is not None else None
         if older is None:
-            return True
+            return self.handover is None or self.handover.again is None
         can = self.discovery.generation is not None and older.sockets > 0
         return can or self.clock.now() > self.begun_at + LATEST_BEGIN
 
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -98,8 +98,16 @@
                 with self.subTest(body=body):
                     self.assertEqual(http_call(program.edge, "POST", "/_jobs/news", body)[0], status)
 
-    def test_outcomes_and_what_they_lead_to(self) -> None:
-        """For each thing that a worker may do: whether a job of each class is sent again, and the answer."""
+    def test_outcomes_and_what_they_lead_to_for_jobs_that_may_run_again(self) -> None:
+        self.outcomes("time-lookup", [(200, 2)] * 8)
+
+    def test_outcomes_and_what_they_lead_to_for_jobs_that_must_not_run_twice(self) -> None:
+        self.outcomes("result-post", [
+            (500, 1), (200, 2), (200, 2), (500, 1), (500, 1), (200, 2), (500, 1), (500, 1),
+        ])  # fmt: skip
+
+    def outcomes(self, cls: str, expected: list[tuple[int, int]]) -> None:
+        """For each thing that a worker may do: the answer to a job, and how often it is sent."""
 
         def say(status: int, **headers: str) -> Any:
             return lambda worker, rid, handler: handler.say(status, **headers)
@@ -114,32 +122,30 @@
         def cut(worker: HttpWorker, rid: str, handler: Any) -> None:
             handler.connection.shutdown(socket.SHUT_RDWR)
 
-        cases: list[tuple[str, Any, tuple[int, int], tuple[int, int]]] = [
-            # what it does, time-lookup's answer and runs, result-post's
-            ("500", say(500), (200, 2), (500, 1)),
-            ("503 declined", say(503, Srv_Declined="1"), (200, 2), (200, 2)),
-            ("504 declined", say(504, Srv_Declined="1"), (200, 2), (200, 2)),
-            ("503 alone", say(503), (200, 2), (500, 1)),
-            ("failed", tell("failed"), (200, 2), (500, 1)),
-            ("returned", tell("returned"), (200, 2), (200, 2)),
-            ("lost", tell("lost"), (200, 2), (500, 1)),
-            ("cut", cut, (200, 2), (500, 1)),
+        cases: list[tuple[str, Any]] = [
+            ("500", say(500)),
+            ("503 declined", say(503, Srv_Declined="1")),
+            ("504 declined", say(504, Srv_Declined="1")),
+            ("503 alone", say(503)),
+            ("failed", tell("failed")),
+            ("returned", tell("returned")),
+            ("lost", tell("lost")),
+            ("cut", cut),
         ]
-        for name, act, *expected in cases:
-            for cls, (status, sends) in zip(("time-lookup", "result-post"), expected, strict=True):
-                with self.subTest(name=name, cls=cls):
-                    first: list[str] = []
-
-                    def once(worker: HttpWorker, rid: str, handler: Any, act: Any = act,
-                             first: list[str] = first) -> None:  # fmt: skip
-                        first.append(worker.name)
-                        (act if len(first) == 1 else HttpWorker.serve)(worker, rid, handler)
-
-                    workers = [HttpWorker("h1", once), HttpWorker("h2", once)]
-                    with running(workers) as (program, _):
-                        got = http_call(program.edge, "POST", f"/{cls}", b"", Req_Id="a1")
-                        self.assertEqual((got[0], len(first)), (status, sends))
-                        self.assertEqual(len(set(first)), sends)
+        for (name, act), (status, sends) in zip(cases, expected, strict=True):
+            with self.subTest(name=name, cls=cls):
+                first: list[str] = []
+
+                def once(worker: HttpWorker, rid: str, handler: Any, act: Any = act,
+                         first: list[str] = first) -> None:  # fmt: skip
+                    first.append(worker.name)
+                    (act if len(first) == 1 else HttpWorker.serve)(worker, rid, handler)
+
+                workers = [HttpWorker("h1", once), HttpWorker("h2", once)]
+                with running(workers) as (program, _):
+                    got = http_call(program.edge, "POST", f"/{cls}", b"", Req_Id="a1")
+                    self.assertEqual((got[0], len(first)), (status, sends))
+                    self.assertEqual(len(set(first)), sends)
 
     def test_a_refused_connection_never_ran(self) -> None:
         with socket.socket() as closed:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -97,6 +97,21 @@
     wait_for(lambda: sum(text in line for line in program.lines) >= times, text)
 
 
+def scripted_successor(path: str) -> tuple[socket.socket, socket.socket, int]:
+    """A newer process that serves, as far as the link shows: its listener, its link and its file's number."""
+    link, listener = socket.socket(socket.AF_UNIX), socket.socket(socket.AF_UNIX)
+    link.connect(path)
+    listener.bind(path + ".new")
+    listener.listen(8)
+    at = os.lstat(path + ".new")
+    os.rename(path + ".new", path)
+    link.sendall(
+        b'{"hello":1,"ids":[]}\n{"state":{"holds":{},"sockets":9,"readiness":"up 99%%"}}\n'
+        b'{"serving":true,"published":[%d,%d,%d]}\n' % (at.st_dev, at.st_ino, at.st_mtime_ns)
+    )
+    return listener, link, at.st_ino
+
+
 TOOK = "a newer process takes the clients"
 
 
@@ -198,6 +213,50 @@
             it.serving()
             wait_for(lambda: old.process.poll() == 0, "the old one to end")
 
+    def test_a_dying_successor_is_replaced_in_whatever_order_it_closes(self) -> None:
+        for order in ("link first", "listener first", "a third took its place"):
+            with self.subTest(order=order), side() as it:
+                old = it.serving()
+                listener, link, published = scripted_successor(it.link)
+                said(old, TOOK)
+                ends = [link, listener] if order != "listener first" else [listener, link]
+                if order == "a third took its place":
+                    third = socket.socket(socket.AF_UNIX)
+                    third.bind(it.link + ".third")
+                    os.rename(it.link + ".third", it.link)
+                    ends.append(third)
+                    published = os.lstat(it.link).st_ino
+                ends[0].close()
+                if order == "listener first":
+                    time.sleep(0.1)  # its file stands there, and nobody answers: the link is all that counts
+                    self.assertEqual(os.lstat(it.link).st_ino, published)
+                    ends[1].close()
+                said(old, "taking clients again")
+                if order == "a third took its place":
+                    self.assertEqual(os.lstat(it.link).st_ino, published)
+                else:
+                    it.serving()
+                    self.assertEqual(old.process.wait(20), 0)
+                for end in ends:
+                    end.close()
+
+    def test_a_starting_process_looks_again_where_it_finds_a_dying_one(self) -> None:
+        for closes in ("refuses", "ends without a word"):
+            with self.subTest(closes=closes), side() as it:
+                old = it.serving()
+                os.rename(it.link, it.link + ".kept")
+                dying = socket.socket(socket.AF_UNIX)
+                dying.bind(it.link)
+                if closes != "refuses":
+                    dying.listen(1)
+                new = it.start()
+                if closes != "refuses":
+                    dying.accept()[0].close()
+                os.rename(it.link + ".kept", it.link)
+                self.assertEqual(old.process.wait(20), 0)
+                self.assertEqual(http_call(new.edge, "POST", "/time-lookup", Req_Id="q1")[0], 200)
+                dying.close()
+
     def test_a_new_process_serves_alone_where_the_old_one_was_killed(self) -> None:
         with side() as it:
             old = it.serving()
