--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -92,7 +92,9 @@
             if kept is not None:
                 self.counters.add("in.kept")
                 flow.ended = True
-                if waiter is not None:
+                if waiter is not None and keeper is not None:
+                    keeper.tell_kept(flow, kept[1], lambda answer: waiter.answer(flow, answer))
+                elif waiter is not None:
                     waiter.answer(flow, kept[1])
                 return flow
         if waiter is not None:
--- a/eiderpin/core/durability.py
+++ b/eiderpin/core/durability.py
@@ -23,6 +23,10 @@
         """The answer of an ended job by this name. Raises `OtherJob`."""
         ...
 
+    def tell_kept(self, flow: Flow, answer: Answer, tell: Callable[[Answer], None]) -> None:
+        """Tell a kept answer, once it is on disk that somebody has been told."""
+        ...
+
     def same(self, known: Flow, flow: Flow) -> bool:
         """Whether both ask for the same."""
         ...
--- a/eiderpin/durable/log.py
+++ b/eiderpin/durable/log.py
@@ -46,7 +46,7 @@
                 files, self.found.segment + 1, self.found.end, self._wake, segment_bytes
             )
         except BaseException:
-            os.close(self._lock)
+            self.files.close(self._lock)
             if self._event >= 0:
                 os.close(self._event)
             raise
@@ -116,4 +116,4 @@
         self.flusher.end()
         self.settle()
         os.close(self._event)
-        os.close(self._lock)
+        self.files.close(self._lock)
--- a/eiderpin/jobs/keeper.py
+++ b/eiderpin/jobs/keeper.py
@@ -5,6 +5,8 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from eiderpin import interface as api
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher
@@ -231,24 +233,41 @@
             self.put(record, self.hold(job))
 
     def end(self, flow: Flow, answer: Answer, told: bool, tell: Callable[[Answer], None]) -> None:
-        record = Ended(self.now(), flow.job, answer.verdict.value, answer.result, told)
         if flow.job in self.ledger.jobs:
+            record = Ended(self.now(), flow.job, answer.verdict.value, answer.result, told)
             self.write_or_remember(record, flow.job)
+        self.tell_when_kept(flow.job, flow.deadline, answer, tell)
+
+    def tell_kept(self, flow: Flow, answer: Answer, tell: Callable[[Answer], None]) -> None:
+        job = self.ledger.find(flow.cls, flow.unique)
+        if job is None or job.ended is None:
+            tell(answer)
+            return
+        number = job.accepted.job
+        if not job.ended.told:
+            # From here on no late result may say otherwise.
+            self.write_or_remember(msgspec.structs.replace(job.ended, told=True), number)
+        self.tell_when_kept(number, flow.deadline, answer, tell)
+
+    def tell_when_kept(
+        self, number: int, deadline: float, answer: Answer, tell: Callable[[Answer], None]
+    ) -> None:
+        """Tell it once all that is known of the job is on disk. At the deadline a failure is told instead: it
+        promises nothing of what has happened."""
+        if number not in self._held and not self.behind:
+            tell(answer)
+            return
         guard: Deadline | None = None
 
         def once(answer: Answer) -> None:
-            self.core.deadlines.drop(guard)
             nonlocal tell
+            self.core.deadlines.drop(guard)
             call, tell = tell, _nobody
             call(answer)
 
-        if flow.job in self._held or self.behind:
-            # A failure promises nothing of what has happened, so it may be told with the disk away.
-            at = max(flow.deadline - TELL_BEFORE, self.core.clock.now())
-            guard = self.core.deadlines.set(at, lambda: once(Answer(Verdict.FAILED)))
-            self.when_kept(flow, lambda ok: once(answer))
-        else:
-            tell(answer)
+        at = max(deadline - TELL_BEFORE, self.core.clock.now())
+        guard = self.core.deadlines.set(at, lambda: once(Answer(Verdict.FAILED)))
+        self._waits.setdefault(number, []).append(lambda ok: once(answer))
 
     def late(self, wire_id: str, worker: str, state: str, result: bytes) -> bool:
         job = self.by_wire(wire_id)
--- a/eiderpin/jobs/ledger.py
+++ b/eiderpin/jobs/ledger.py
@@ -171,7 +171,8 @@
 
     def _over(self, job: Job, record: Ended) -> None:
         before = job.ended
-        if before is not None and (before.told or before.verdict == "succeeded"):
+        again = before is not None and (before.verdict, before.result) == (record.verdict, record.result)
+        if before is not None and (before.told or (before.verdict == "succeeded" and not again)):
             raise BrokenRule(f"job {record.job} ends twice, and its first end was told")
         job.ended = record
         if not self.keeps(job):
--- a/eiderpin/jobs/recovery.py
+++ b/eiderpin/jobs/recovery.py
@@ -64,8 +64,9 @@
     request = core.request_of(flow)
     out = [s for s in flow.schedulings if not s.ended]
     spec = core.classes[flow.cls]
+    # Taken on, it is wanted until its deadline: the time that we were down must not make it hopeless.
     standing = api.Standing(
-        a.at + spec.aim - keeper.now(), flow.hint or spec.aim, len(flow.schedulings),
+        flow.deadline - now, flow.hint or spec.aim, len(flow.schedulings),
         [(s.number, 0.0, -1.0) for s in out], [s.entry.name for s in out], [],
     )  # fmt: skip
     core.tell(api.Adopted(request, standing))
