Give it a command line, logs of one event a line, listed workers and a first minute

Need: a newcomer's make run ended with an errno and no hint; there was no configuration to start from, and without discovery nothing to start with. Logs were free text.

--- a/eiderpin/__init__.py
+++ b/eiderpin/__init__.py
@@ -1,1 +1,3 @@
-"""eiderpin: the decisions of a dispatcher that pushes jobs to workers."""
+"""eiderpin: a dispatcher that hands jobs to workers."""
+
+VERSION = "0.2.0"
--- a/eiderpin/__main__.py
+++ b/eiderpin/__main__.py
@@ -1,8 +1,14 @@
-"""One real dispatcher: `python -m eiderpin`, configured by the file that GW_CONFIG names."""
+"""`python -m eiderpin` is short for `eiderpin run`: one real dispatcher, without what the command line
+needs."""
 
 import sys
 
-from eiderpin.service import main
-
 if __name__ == "__main__":
-    sys.exit(main())
+    if len(sys.argv) > 1:
+        from eiderpin.cli import main
+
+        main(prog_name="eiderpin")
+    else:
+        from eiderpin.service import main as run
+
+        sys.exit(run())
--- a/eiderpin/configuration.py
+++ b/eiderpin/configuration.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from eiderpin.jobs.options import Options
+    from eiderpin.net.static_list import Listed
 
 FRONTS = "deploy/fronts.json"  # beside the program: which further fronts listen, and where
 EXTRA, EXTRA_SHARE = 48, 1 / 6  # edge connections past those that wait for jobs: so many, or this share
@@ -33,7 +34,7 @@
 class Config:
     name: str
     listen: tuple[str, int]
-    discovery: tuple[str, int]
+    discovery: tuple[str, int] | None  # None: the workers are listed here alone
     seed: int
     sockets: int
     memory_mb: float
@@ -43,6 +44,7 @@
     agent_check: tuple[str, int] | None = None
     management: tuple[str, int] | None = None  # the operators' door; None: off
     durable: Options | None = None  # jobs that outlive the process; None: off
+    workers: Listed | None = None  # that the configuration lists itself
     inherited: int | None = None  # the descriptor that clients' connections come by; None: we bind `listen`
 
 
@@ -81,17 +83,54 @@
         raise ConfigError(f"fronts: {error}".replace("\n", " ")) from None
 
 
-def read_config(text: bytes) -> Config:
-    """The platform's JSON."""
+def load(path: str | None, parts: str | None = None) -> Config:
+    """The configuration at `path`, with the further parts: those of `parts`, or of our own file where that is
+    there (empty: none). Raises `ConfigError` and `OSError`."""
+    if not path:
+        raise ConfigError(
+            "no configuration: name a file, JSON or TOML, by GW_CONFIG or by `eiderpin run --config FILE` "
+            "(deploy/example.toml explains each setting; `eiderpin try` needs none)"
+        )
+    with open(path, "rb") as file:
+        config = read_config(file.read(), toml=path.endswith(".toml"))
+    read_environment(config)
+    named = os.environ.get("EIDERPIN_FRONTS", FRONTS) if parts is None else parts
+    if parts or (named and os.path.exists(named)):
+        with open(named, "rb") as file:
+            read_fronts(config, file.read())
+    return config
+
+
+def read_config(text: bytes, toml: bool = False) -> Config:
+    """The platform's JSON, or the same in TOML."""
+    if toml:
+        import tomllib
+
+        try:
+            return read_said(tomllib.loads(text.decode()))
+        except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+            raise ConfigError(f"the configuration is not TOML: {error}".replace("\n", " ")) from None
     try:
         said: Any = orjson.loads(text)
     except orjson.JSONDecodeError as error:
         raise ConfigError(f"the configuration is not JSON: {error}") from None
+    return read_said(said)
+
+
+def read_said(said: Any) -> Config:
     if not isinstance(said, dict):
         raise ConfigError("the configuration must be an object")
     try:
         settings, _ = wire.settings(said.get("settings"))
-        listen, where = _address(said.get("listen")), discovery.address(said.get("discovery"))
+        workers: Listed | None = None
+        if "workers" in said:
+            from eiderpin.net.static_list import read_workers
+
+            workers = read_workers(said["workers"], [c.name for c in settings.classes])
+        where = None
+        if said.get("discovery") or workers is None:
+            where = discovery.address(said.get("discovery"))
+        listen = _address(said.get("listen"))
         door = said.get("management")
         management = _address(door) if door else None
         seed = int(str(said.get("seed") or "0"), 16)
@@ -109,7 +148,7 @@
         raise ConfigError(f"limits.memory_mb: {memory_mb} is too little")
     name = str(said.get("name") or "eiderpin")
     return Config(
-        name, listen, where, seed, sockets, memory_mb, known, settings, management=management
+        name, listen, where, seed, sockets, memory_mb, known, settings, management=management, workers=workers
     )
 
 
--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import replace
@@ -16,6 +17,8 @@
 from eiderpin.core.invariants import must
 from eiderpin.core.schedulings import Scheduling, ServiceEntry, WorkerLink
 
+log = logging.getLogger("eiderpin")
+
 ANSWER_MARGIN = 15.0  # ms before a client's deadline at which its answer is due: it has to travel
 GRACE_MARGIN = 50.0  # ms of a drain's grace that are left unused
 WAIT_ADVICE = 500.0  # ms told to a turned-down client where the decisions name no figure
@@ -422,6 +425,9 @@
         else:
             self.count_answer(flow.cls, answer.verdict)
         told, answer = answer is not None and bool(flow.waiters), answer or FAILED
+        if log.isEnabledFor(logging.DEBUG):
+            fields = {"job": flow.wire_id or flow.unique, "class": flow.cls, "end": answer.verdict.value}
+            log.debug("a job has ended", extra=fields)
         if flow.job and self.keeper is not None:
             # Until its end is on disk it can be joined, and nobody hears of it.
             self.keeper.end(flow, answer, told, lambda answer: self._give(flow, answer))
--- a/eiderpin/jobs/keeper.py
+++ b/eiderpin/jobs/keeper.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 
 import msgspec
@@ -21,6 +22,8 @@
 from eiderpin.jobs.options import Options
 from eiderpin.jobs.records import Accepted, AnyRecord, Ended, Opened, Released
 
+log = logging.getLogger("eiderpin")
+
 TRY_AGAIN = 500.0  # ms between looks whether a failed disk has come back
 TELL_BEFORE = 2.0  # ms before a job's deadline at which a client hears, whatever the disk does
 EXPIRE_EVERY = 1000.0  # ms between looks for answers that need not be kept any longer
@@ -77,6 +80,8 @@
         self.log.settle()
         if failed is None and self.log.failed is not None:
             self.core.counters.add("ledger.failed")
+            text = "the disk of durable jobs takes nothing, they are turned down: %s"
+            log.error(text, self.log.failed)
             self.behind = True
             self.look_again()
 
@@ -96,6 +101,7 @@
             return  # it has failed again, and `settle` sees to that
         self.behind = False
         self.core.counters.add("ledger.came_back")
+        log.info("the disk of durable jobs is back")
         waits, self._waits = self._waits, {}
         for number, calls in waits.items():
             if number in self._held:
@@ -208,6 +214,10 @@
         self._silences.pop(scheduling, None)
         if not scheduling.ended:
             self.core.counters.add("ledger.leases_expired")
+            log.warning(
+                "a worker has fallen silent: its lease is over",
+                extra={"job": scheduling.flow.wire_id, "worker": scheduling.entry.name},
+            )
             scheduling.may_have_run = True
             self.core.ended(scheduling, api.Outcome.RESET)
 
@@ -276,6 +286,7 @@
         ended = job.ended
         if state == "done" and ended is not None and not ended.told and ended.verdict != "succeeded":
             self.core.counters.add("ledger.late_results")
+            log.info("a late result is kept", extra={"job": wire_id, "worker": worker})
             record = Ended(self.now(), job.accepted.job, Verdict.SERVED.value, result, False)
             self.write_or_remember(record, job.accepted.job)
         return True
--- a/eiderpin/net/gearman_front.py
+++ b/eiderpin/net/gearman_front.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from eiderpin import VERSION
 from eiderpin import interface as api
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher
@@ -30,7 +31,6 @@
 MOST_PLACED = 2  # jobs placed on one worker connection, running ones included: it runs one at a time
 AWAY_EVERY = 200.0  # ms between looks for idle clients while they are sent away
 QUIET = 150.0  # ms without a packet after which a client is idle
-VERSION = "0.1.0"
 
 # priority, background
 SUBMITS = {
--- a/eiderpin/net/loop.py
+++ b/eiderpin/net/loop.py
@@ -4,10 +4,10 @@
 
 import contextlib
 import errno
+import logging
 import math
 import selectors
 import socket
-import traceback
 from collections.abc import Callable
 
 from eiderpin.core.counters import Counters
@@ -335,7 +335,7 @@
     try:
         call()
     except Exception as error:
-        traceback.print_exc()
+        logging.getLogger("eiderpin").exception("a fault in a handler")
         owner = getattr(hook, "__self__", None)
         if isinstance(owner, Connection) and not owner.closed:
             owner.close()
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import signal
 import socket
@@ -12,16 +13,8 @@
 
 import orjson
 
-from eiderpin.configuration import (
-    FRONTS,
-    OWN,
-    Config,
-    ConfigError,
-    read_config,
-    read_environment,
-    read_fronts,
-    shares,
-)
+from eiderpin import logs
+from eiderpin.configuration import OWN, Config, ConfigError, load, read_config, shares
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Clock, Deadlines
 from eiderpin.core.dispatcher import Dispatcher
@@ -37,6 +30,7 @@
 if TYPE_CHECKING:
     from eiderpin.jobs.keeper import JobKeeper
     from eiderpin.jobs.options import Options
+    from eiderpin.net.static_list import StaticList
 
 LINGER = 600.0  # ms after SIGTERM in which new connections may still come
 SETTLE = 400.0  # ms after a drain in which the front may still send new clients: idle ones are not yet closed
@@ -52,7 +46,7 @@
 
 
 # What a replaced configuration changes at once; `seed` and `known` are for a start only.
-AT_ONCE = ("discovery", "seed", "known", "gearman", "agent_check", "management", "inherited", "durable")
+AT_ONCE = ("seed", "known", "gearman", "agent_check", "management", "inherited", "durable")
 
 
 class Service:
@@ -94,9 +88,17 @@
                 self.management = Management(self.loop, self.counters, config.management, calls)
         except OSError as error:
             raise ConfigError(f"cannot listen: {error}") from None
-        self.discovery = discovery.Discovery(
-            self.loop, self.core, self.workers, config.discovery, config.known
-        )
+        self.listed: StaticList | None = None
+        if config.workers is not None:
+            from eiderpin.net import static_list
+
+            self.listed = static_list.StaticList(self.core, self.workers)
+            self.listed.tell(config.workers)
+        self.discovery: discovery.Discovery | None = None
+        if config.discovery is not None:
+            self.discovery = discovery.Discovery(
+                self.loop, self.core, self.workers, config.discovery, config.known
+            )
         self.drained = False  # by the operators' word
         self.stopping_since: float | None = None  # since SIGTERM
         self.handed_at: float | None = None  # when a successor took the clients
@@ -153,7 +155,8 @@
         older = self.handover.older if self.handover is not None else None
         if older is None:
             return self.handover is None or self.handover.again is None
-        can = self.discovery.generation is not None and older.sockets > 0
+        told = self.discovery is None or self.discovery.generation is not None
+        can = told and older.sockets > 0
         return can or self.clock.now() > self.begun_at + LATEST_BEGIN
 
     def begin(self) -> None:
@@ -242,17 +245,17 @@
         return orjson.dumps(self.core.figures()).decode() + "\neof"
 
     def say(self, text: str) -> None:
-        print(f"eiderpin: {text}", file=sys.stderr, flush=True)
+        logs.event(text)
 
-    def addresses(self) -> str:
+    def addresses(self) -> dict[str, str]:
         """Where we listen, for whoever started us with port 0."""
         fronts = {"edge": self.edge, "gearman": self.gearman, "agent-check": self.agent_check,
                   "management": self.management}  # fmt: skip
-        return " ".join(
-            f"{name}={front.listener.address[0]}:{front.listener.address[1]}"
+        return {
+            name: f"{front.listener.address[0]}:{front.listener.address[1]}"
             for name, front in fronts.items()
             if front is not None
-        )
+        }
 
     def stop(self) -> None:
         """Begin the planned end: serve what comes, and end once all is answered."""
@@ -282,14 +285,18 @@
         line; so is what takes a restart."""
         try:
             with open(self.path or "", "rb") as file:
-                new = read_config(file.read())
+                new = read_config(file.read(), toml=str(self.path).endswith(".toml"))
         except (OSError, ConfigError) as error:
             self.counters.add("in.reloads_bad")
-            self.say(f"not reloaded: {error}".replace("\n", " "))
+            logs.event(f"not reloaded: {error}".replace("\n", " "), logging.WARNING)
             return
         self.counters.add("in.reloads")
-        self.config.discovery = new.discovery
-        self.discovery.move(new.discovery)
+        if self.discovery is not None and new.discovery is not None:
+            self.config.discovery = new.discovery
+            self.discovery.move(new.discovery)
+        if self.listed is not None and new.workers is not None:
+            self.config.workers = new.workers
+            self.listed.tell(new.workers)
         names = [f.name for f in fields(Config) if f.name not in AT_ONCE]
         stay = [n for n in names if getattr(new, n) != getattr(self.config, n)]
         if stay:
@@ -334,7 +341,7 @@
         """Serve until stopped; SIGTERM and SIGINT stop it, SIGHUP has the configuration read again, SIGUSR1
         prints the counters."""
         self._take_signals()
-        self.say(f"{self.config.name} listens {self.addresses()}")
+        logs.event("listens", logging.INFO, **self.addresses())
         while not self.over():
             self.turn()
         if self.keeper is not None:
@@ -366,20 +373,17 @@
         signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
 
 
-def main() -> int:
-    """What `python -m eiderpin` does."""
+def main(
+    path: str | None = None, parts: str | None = None, log_format: str = "", log_level: str = ""
+) -> int:
+    """What `python -m eiderpin` and `eiderpin run` do; what is not given is taken from the environment."""
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # one that comes before the loop waits for it
-    path = os.environ.get("GW_CONFIG", "")
+    path = path or os.environ.get("GW_CONFIG")
     try:
-        with open(path, "rb") as file:
-            config = read_config(file.read())
-        read_environment(config)
-        fronts = os.environ.get("EIDERPIN_FRONTS", FRONTS)
-        if os.path.exists(fronts):
-            with open(fronts, "rb") as file:
-                read_fronts(config, file.read())
+        config = load(path, parts)
+        logs.set_up(config.name, log_format, log_level)
         service = Service(config, path)
-    except (OSError, ConfigError) as error:
+    except (OSError, ValueError) as error:
         print(f"eiderpin: {error}".replace("\n", " "), file=sys.stderr)
         return 2
     service.run()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -302,7 +302,7 @@
         if durable is not None:
             parts["durable"] = durable
         (path / "fronts.json").write_text(json.dumps(parts))
-        env = {**os.environ, "GW_CONFIG": str(path / "config.json"),
+        env = {**os.environ, "GW_CONFIG": str(path / "config.json"), "EIDERPIN_LOG_FORMAT": "logfmt",
                "EIDERPIN_FRONTS": str(path / "fronts.json")}  # fmt: skip
         pass_fds: tuple[int, ...] = ()
         if inherits is not None:
@@ -317,7 +317,7 @@
         first = self.process.stderr.readline()
         if first.startswith("Traceback"):
             first += self.process.stderr.read()
-        self.at = dict(part.split("=") for part in first.split() if "=" in part)
+        self.at = dict(part.split("=") for part in first.split() if part.count("=") == 1)
         assert "edge" in self.at, first
         self.edge = self.at["edge"]
         self.reading = threading.Thread(target=self._read, daemon=True)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -538,7 +538,7 @@
                     self.assertIn("not reloaded", program.lines[i])
             program.hang_up(seed="2", limits={"sockets": 512})
             wait_for(lambda: len(program.lines) == 5, "the line that names what needs a restart")
-            self.assertRegex(program.lines[4], "restart is needed for: sockets$")
+            self.assertRegex(program.lines[4], 'restart is needed for: sockets" dispatcher=t1$')
             discovery.list("h1", worker.port)
             wait_for(lambda: discovery.told == discovery.generation, "the list")
             self.assertEqual(http_call(program.edge, "POST", "/time-lookup", Req_Id="a")[0], 200)
