--- a/eiderpin/durable/flusher.py
+++ b/eiderpin/durable/flusher.py
@@ -39,7 +39,7 @@
         self.ending = False
         self.synced = 0  # records committed, of all that were put since the last failure
         self.failed: OSError | None = None
-        self.commits = 0
+        self.commits = self.records = self.bytes = 0
         self.largest = 0  # records in one commit
         self.checkpoints = 0
 
@@ -109,6 +109,7 @@
             with self.changed:
                 self.synced += len(records)
                 self.commits += bool(records)
+                self.records += len(records)
                 self.largest = max(self.largest, len(records))
             records = []
             if item:
@@ -137,6 +138,7 @@
         write_all(self.files, self.fd, data)
         self.files.sync(self.fd)
         self.offset += len(data)
+        self.bytes += len(data)
         self.synced_offset = self.offset
 
     def _checkpoint(self, records: Sequence[Record]) -> None:
--- a/eiderpin/jobs/keeper.py
+++ b/eiderpin/jobs/keeper.py
@@ -16,6 +16,7 @@
 from eiderpin.core.invariants import must
 from eiderpin.core.schedulings import Scheduling
 from eiderpin.durable.files import Files
+from eiderpin.durable.frames import Record
 from eiderpin.durable.log import Log, NotWritable
 from eiderpin.jobs import records
 from eiderpin.jobs.ledger import Job, Ledger, MayNotRun, asks_same
@@ -26,6 +27,7 @@
 
 TRY_AGAIN = 500.0  # ms between looks whether a failed disk has come back
 TELL_BEFORE = 2.0  # ms before a job's deadline at which a client hears, whatever the disk does
+EXPIRE_RECORDS = 4096  # records read between looks at what need not be kept
 EXPIRE_EVERY = 1000.0  # ms between looks for answers that need not be kept any longer
 
 
@@ -40,7 +42,8 @@
             frozenset(single & options.classes), options.keep, options.most, int(options.most_mb * (1 << 20))
         )
         files = files if files is not None else Files(options.folder)
-        self.log = Log(files, lambda r: self.ledger.apply(records.unpack(r)))
+        self._read = 0
+        self.log = Log(files, self.read)
         # A clock that has stepped back must give no job more time than it had.
         self.ahead = max(0.0, self.ledger.last_at - core.clock.now())
         self.name = name
@@ -57,6 +60,13 @@
         """The ledger's time: the core's, but never behind what has been written."""
         return self.core.clock.now() + self.ahead
 
+    def read(self, record: Record) -> None:
+        """Take one record of the ledger in, in the order in which they were written."""
+        self.ledger.apply(records.unpack(record))
+        self._read += 1
+        if self._read % EXPIRE_RECORDS == 0:
+            self.ledger.expire(self.ledger.last_at)  # a long ledger must not be held in memory whole
+
     # -- writing
 
     def put(self, record: AnyRecord, told: Callable[[bool], None] | None = None) -> None:
@@ -297,6 +307,9 @@
 
     def close(self) -> None:
         self.log.close()
+        flusher = self.log.flusher
+        for name in ("records", "commits", "bytes", "checkpoints", "largest"):
+            self.core.counters.add(f"ledger.{name}", getattr(flusher, name))
 
 
 def _nobody(answer: Answer) -> None:
