--- a/benchmarks/durable.py
+++ b/benchmarks/durable.py
@@ -149,7 +149,7 @@
 
 
 def recovery(folder: Path, records_wanted: int, open_jobs: int = 1000) -> dict[str, Any]:
-    """Write a ledger of so many records, none of them checkpointed, and take it up in a process of its own."""
+    """Write a ledger of so many records, none checkpointed, and take it up in a process of its own."""
     from eiderpin.durable.files import Files
     from eiderpin.durable.log import Log
     from eiderpin.jobs import records
--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -30,8 +30,10 @@
 def settings(deadline: float = 30_000.0) -> dict[str, Any]:
     return {
         "classes": [
-            {"name": "result-post", "aim": deadline, "hard_limit": deadline, "repeat": "single_shot"},
-            {"name": "time-lookup", "aim": deadline, "hard_limit": deadline, "repeat": "free"},
+            {"name": "result-post", "aim": 500.0, "hard_limit": deadline, "late_worth": 0.9,
+             "repeat": "single_shot"},
+            {"name": "time-lookup", "aim": 500.0, "hard_limit": deadline, "late_worth": 0.9,
+             "repeat": "free"},
         ],
         "family_info": {"tells_start": True, "progress": 1000.0},
         "limits": {"may_cancel": True, "retry_after": True, "max_retry_after": 200.0, "try_limit": 5},
@@ -62,7 +64,7 @@
         command = [sys.executable, "-O", "-m", "eiderpin", "run", "--config", str(self.config), "--parts",
                    str(self.parts), "--log-format", "json"]  # fmt: skip
         with self.errors.open("ab") as errors:
-            self.process = subprocess.Popen(command, cwd=ROOT, stderr=errors)
+            self.process = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.DEVNULL, stderr=errors)
 
     async def ready(self, within: float = 20.0) -> None:
         """Raises `TimeoutError`."""
--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -158,6 +158,14 @@
         self._events.append(api.RequestGone(flow.id))
         self._finish(flow, None)
 
+    def turn_down(self, flow: Flow) -> None:
+        """It could not be taken on after all, and nothing of it has been sent."""
+        if not flow.ended:
+            self.counters.add("in.not_durable")
+            self._events.append(api.RequestGone(flow.id))
+            wait = self.settings.max_wait_advice or WAIT_ADVICE
+            self._finish(flow, Answer(Verdict.TURNED_DOWN, wait=wait))
+
     def detach(self, flow: Flow, waiter: EdgeSide) -> None:
         """As `leave`, but a single-shot job that may have begun goes on, so that a resubmission finds it."""
         repeat = self.classes[flow.cls].repeat
--- a/eiderpin/jobs/keeper.py
+++ b/eiderpin/jobs/keeper.py
@@ -38,8 +38,9 @@
     def __init__(self, core: Dispatcher, options: Options, name: str, files: Files | None = None) -> None:
         self.core, self.options = core, options
         single = {c.name for c in core.settings.classes if c.repeat is not api.Repeat.FREE}
+        self.single = tuple(sorted(single & options.classes))
         self.ledger = Ledger(
-            frozenset(single & options.classes), options.keep, options.most, int(options.most_mb * (1 << 20))
+            frozenset(self.single), options.keep, options.most, int(options.most_mb * (1 << 20))
         )
         files = files if files is not None else Files(options.folder)
         self._read = 0
@@ -48,12 +49,13 @@
         self.ahead = max(0.0, self.ledger.last_at - core.clock.now())
         self.name = name
         self.recovered = False
-        self.behind = False  # the disk does not yet hold all that has happened, since it had failed
+        self.behind: set[int] = set()  # jobs of which the disk does not hold all, since it had failed
         self._again: Deadline | None = None
         self._silences: dict[Scheduling, Deadline] = {}
         self._held: dict[int, int] = {}  # job to how many of its records are not known to be on disk
+        self._unwritten: set[int] = set()  # jobs whose taking on the disk has refused
         self._waits: dict[int, list[Callable[[bool], None]]] = {}
-        self.put(Opened(self.now(), self.ledger.term + 1, name))
+        self.put(Opened(self.now(), self.ledger.term + 1, name, self.single))
         self.expire()
 
     def now(self) -> float:
@@ -92,7 +94,6 @@
             self.core.counters.add("ledger.failed")
             text = "the disk of durable jobs takes nothing, they are turned down: %s"
             log.error(text, self.log.failed)
-            self.behind = True
             self.look_again()
 
     def look_again(self) -> None:
@@ -101,7 +102,7 @@
         if self.log.came_back():
             # What has happened since the snapshot that brought it back is not in that one.
             self.log.checkpoint([records.pack(r) for r in self.ledger.snapshot()])
-            self.put(Opened(self.now(), self.ledger.term, self.name), self.back)
+            self.put(Opened(self.now(), self.ledger.term, self.name, self.single), self.back)
             return
         self.log.try_again([records.pack(r) for r in self.ledger.snapshot()])
         self._again = deadlines.set(clock.now() + TRY_AGAIN, self.look_again)
@@ -109,7 +110,7 @@
     def back(self, ok: bool) -> None:
         if not ok:
             return  # it has failed again, and `settle` sees to that
-        self.behind = False
+        self.behind.clear()
         self.core.counters.add("ledger.came_back")
         log.info("the disk of durable jobs is back")
         waits, self._waits = self._waits, {}
@@ -155,10 +156,20 @@
             self.ahead,
             flow.slots, flow.memory, flow.tenant, flow.key, flow.hint, flow.priority, flow.background,
         )  # fmt: skip
-        try:
-            self.put(record, self.hold(number))
-        except NotWritable:
+        if self.failed:
             return False
+        held = self.hold(number)
+
+        def told(ok: bool) -> None:
+            held(ok)
+            if not ok:
+                # It never counted as taken on, and nothing of it was sent: this may be said at once.
+                self._unwritten.add(number)
+                for call in self._waits.pop(number, ()):
+                    call(False)
+                self.core.turn_down(flow)
+
+        self.put(record, told)
         flow.job = number
         return True
 
@@ -167,19 +178,21 @@
         self._held[number] = self._held.get(number, 0) + 1
 
         def told(ok: bool) -> None:
+            if not ok:
+                self.behind.add(number)
             left = self._held[number] - 1
             if left:
                 self._held[number] = left
                 return
             del self._held[number]
-            if ok and not self.behind:  # else they wait until the disk has come back
+            if number not in self.behind:  # else they wait until the disk has come back
                 for call in self._waits.pop(number, ()):
                     call(True)
 
         return told
 
     def when_kept(self, flow: Flow, call: Callable[[bool], None]) -> None:
-        if flow.job not in self._held and not self.behind:
+        if flow.job not in self._held and flow.job not in self.behind:
             call(True)
         else:
             self._waits.setdefault(flow.job, []).append(call)
@@ -249,6 +262,7 @@
         back."""
         if self.failed:
             self.ledger.apply(record)
+            self.behind.add(job)
         else:
             self.put(record, self.hold(job))
 
@@ -274,7 +288,8 @@
     ) -> None:
         """Tell it once all that is known of the job is on disk. At the deadline a failure is told instead: it
         promises nothing of what has happened."""
-        if number not in self._held and not self.behind:
+        if number in self._unwritten or not (number in self._held or number in self.behind):
+            self._unwritten.discard(number)
             tell(answer)
             return
         guard: Deadline | None = None
--- a/eiderpin/jobs/ledger.py
+++ b/eiderpin/jobs/ledger.py
@@ -126,7 +126,7 @@
         if isinstance(record, Opened):
             if record.term < self.term:
                 raise BrokenRule(f"term {record.term} after term {self.term}")
-            self.term, self.owner = record.term, record.name
+            self.term, self.owner, self.single = record.term, record.name, frozenset(record.single)
         elif isinstance(record, Accepted):
             self._accepted(record)
         else:
@@ -216,7 +216,7 @@
 
     def snapshot(self) -> Iterator[AnyRecord]:
         """Records that say all that is known now."""
-        yield Opened(self.last_at, self.term, self.owner)
+        yield Opened(self.last_at, self.term, self.owner, tuple(sorted(self.single)))
         for job in self.jobs.values():
             yield job.accepted
             for lease in job.leases:
--- a/eiderpin/jobs/records.py
+++ b/eiderpin/jobs/records.py
@@ -18,6 +18,7 @@
     at: float  # ms of Unix time, as in all records
     term: int  # one more than that of the owner before
     name: str
+    single: tuple[str, ...] = ()  # classes that may not run twice, from here on
 
 
 class Accepted(msgspec.Struct, array_like=True, frozen=True):
--- a/eiderpin/jobs/recovery.py
+++ b/eiderpin/jobs/recovery.py
@@ -26,7 +26,7 @@
     done = dict.fromkeys(Step, 0)
     for step, job in keeper.ledger.plan(now):
         try:
-            if step is Step.LATE:
+            if step is Step.LATE or job.accepted.cls not in core.classes:
                 raise TableFull
             _bring_back(keeper, core, workers, job)
         except TableFull:
--- a/eiderpin/net/gearman_front.py
+++ b/eiderpin/net/gearman_front.py
@@ -223,10 +223,13 @@
             # That a job has been taken on is said once it outlives us.
             self.core.keeper.when_kept(joined, self.say_later(lambda: self.put(Kind.JOB_CREATED, handle)))
         elif spec.name in self.durable() and not joined.job and flow is joined:
-            self.error("NOT_TAKEN", "the disk of durable jobs takes nothing now: come back later")
+            self.say_in_turn(self.not_taken)
         else:
             self.say_in_turn(lambda: self.put(Kind.JOB_CREATED, handle))
 
+    def not_taken(self) -> None:
+        self.error("NOT_TAKEN", "the disk of durable jobs takes nothing now: come back later")
+
     def durable(self) -> set[str]:
         keeper = self.core.keeper
         return {c for c in self.core.classes if keeper is not None and keeper.covers_class(c)}
@@ -244,7 +247,7 @@
         self.unsaid.append(waits)
 
         def ready(ok: bool) -> None:
-            waits[1] = True
+            waits[:] = [say if ok else self.not_taken, True]
             while self.unsaid and self.unsaid[0][1] and not self.conn.closed:
                 self.unsaid.popleft()[0]()
 
--- a/tests/test_crash.py
+++ b/tests/test_crash.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import contextlib
+import resource
+import signal
+import subprocess
+import sys
 import tempfile
 import threading
 import unittest
 from collections.abc import Iterator
+from pathlib import Path
 from typing import Any
 
 from eiderpin.net.gearman import Kind
-from tests.standins import Discovery, GearmanPeer, HttpWorker, Program, http_call, wait_for
+from tests.standins import ROOT, Discovery, GearmanPeer, HttpWorker, Program, http_call, wait_for
+from tests.test_command import eiderpin
 
 
 class Keeps:
@@ -156,6 +162,88 @@
             self.assertEqual(post(second, "a1")[0], 500)  # somebody has been told
             self.assertEqual(it.ran, {"a1": 1})
 
+    def test_a_full_disk_turns_durable_jobs_down_and_comes_back_without_a_restart(self) -> None:
+        with installation() as it:
+            program, pid = it.start(), it.programs[-1].process.pid
+            it.keeps.go.set()
+            self.assertEqual(post(program, "a1")[0], 200)
+            limits = resource.prlimit(pid, resource.RLIMIT_FSIZE, (1, -1))  # no file may grow
+            wait_for(lambda: post(program, "a2")[0] == 503, "a turn-down")
+            path = "/result-post"
+            status, _, headers = http_call(program.edge, "POST", path, b"x", Idempotency_Key="a3")
+            self.assertEqual(status, 503)
+            self.assertIn("retry-after", headers)
+            self.assertEqual(http_call(program.edge, "POST", "/time-lookup", Req_Id="q1")[0], 200)
+            self.assertEqual(post(program, "a1"), (200, b"ran a1"))  # what was kept is told
+            resource.prlimit(pid, resource.RLIMIT_FSIZE, limits)
+            wait_for(lambda: post(program, "a4")[0] == 200, "the disk to come back")
+            self.assertTrue(any("is back" in line for line in program.lines))
+            it.kill()
+            second = it.start()
+            self.assertEqual(post(second, "a4"), (200, b"ran a4"))
+            self.assertEqual(it.ran["a4"], 1)
+            self.assertTrue(all(count == 1 for count in it.ran.values()), it.ran)
+
+    def test_damage_and_a_newer_format_keep_it_from_starting(self) -> None:
+        with installation() as it:
+            program = it.start()
+            it.keeps.go.set()
+            for name in ("a1", "a2", "a3"):
+                post(program, name)
+            it.kill()
+            path = Path(it.folder.name) / "0000000000000001.seg"
+            good = path.read_bytes()
+            for at, text in ((60, "damaged at byte"), (8, "its format is")):
+                bad = bytearray(good)
+                bad[at] ^= 8
+                path.write_bytes(bad)
+                with self.assertRaisesRegex(AssertionError, text):
+                    Program(it.discovery, durable=it.durable)
+                done = eiderpin("jobs", "check", it.folder.name)
+                self.assertIn(done.returncode, (1, 2))
+                self.assertIn(text, done.stderr)
+            path.write_bytes(good)
+            for args in (("list",), ("check",)):
+                done = eiderpin("jobs", *args, it.folder.name)
+                self.assertEqual(done.returncode, 0, done.stderr)
+            self.assertIn("3 succeeded", done.stdout)
+            shown = eiderpin("jobs", "show", it.folder.name, "a2")
+            self.assertIn("leased to h1", shown.stdout)
+            self.assertEqual(eiderpin("jobs", "show", it.folder.name, "nobody").returncode, 1)
+
+    def test_sigterm_ends_it_when_durable_jobs_have_ended_and_their_answers_stay(self) -> None:
+        with installation() as it:
+            program = it.start()
+            asked: list[tuple[int, bytes]] = []
+            thread = threading.Thread(target=lambda: asked.append(post(program, "a1")))
+            thread.start()
+            wait_for(lambda: it.ran["a1"], "the job to be out")
+            program.process.send_signal(signal.SIGTERM)
+            it.keeps.go.set()
+            self.assertEqual(program.process.wait(20), 0)
+            thread.join(20)
+            self.assertEqual(asked, [(200, b"ran a1")])
+            self.assertEqual(post(it.start(), "a1"), (200, b"ran a1"))
+
+    def test_a_worker_that_restarts_and_tells_of_a_lost_job_ends_its_lease(self) -> None:
+        with installation() as it:
+            program = it.start()
+            post_behind(program, "a1")
+            wait_for(lambda: it.ran["a1"], "the job to be out")
+            it.kill()
+            second = it.start()
+            self.assertEqual(it.keeps.worker.tell("a1", "lost"), 204)
+            self.assertEqual(post(second, "a1")[0], 500)  # it may have run
+            self.assertEqual(it.ran, {"a1": 1})
+
+    def test_posts_through_kills_and_disk_faults(self) -> None:
+        done = subprocess.run(
+            [sys.executable, "-m", "benchmarks.crash_jobs", "--posts", "240", "--kills", "3",
+             "--clients", "32", "--seed", "5", "--disk-faults"],
+            cwd=ROOT, capture_output=True, text=True, timeout=120,
+        )  # fmt: skip
+        self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
+
     def test_a_second_owner_of_the_directory_is_refused_in_one_line(self) -> None:
         with installation() as it:
             it.start()
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -49,7 +49,7 @@
             ("after its end", [accepted(1), leased(1), ended], leased(1, 1)),
             ("never leased", [accepted(1)], Released(2.0, 1, 0, False, "rejected")),
             ("ends twice", [accepted(1), leased(1), ended], Ended(4.0, 1, "aborted")),
-            ("term 1 after term 2", [Opened(0.0, 2, "a")], Opened(0.0, 1, "b")),
+            ("term 1 after term 2", [Opened(0.0, 2, "a", ("post",))], Opened(0.0, 1, "b")),
         ]
         for text, said, bad in cases:
             with self.subTest(text=text, bad=bad):
