Let the ledger change hands in an upgrade; kill the program at each place that matters

Need: a new process beside the old one ended at once, for the ledger has one owner; and the hard cases named (between accept and lease, lease and first byte, last byte and 202, result and record, record and answer) were met by chance only.

Change: a new process serves all but durable jobs until its predecessor's end gives the ledger up, and then takes its jobs over. Durable flows are not handed over the link. Tests put the program's death at each of the five places, step the clock back an hour, drop a Gearman worker while we are down, keep a lease alive by progress past the silence, and let two ledgers share a worker.

--- a/eiderpin/core/moves.py
+++ b/eiderpin/core/moves.py
@@ -37,7 +37,9 @@
     """Take a flow out of here, and out of the decisions; None where it has to stay. Nothing is called off."""
     core.decide()  # what has come in for it must not be lost
     out = [s for s in flow.schedulings if not s.ended]
-    if flow.ended or flow.background or not flow.once or not all(s.entry.link.may_move(s) for s in out):
+    if flow.ended or flow.background or not flow.once or flow.job:
+        return None  # a durable one belongs to the ledger, and goes with that
+    if not all(s.entry.link.may_move(s) for s in out):
         return None
     standing = core.module.hand_out(flow.id, core.clock.now())
     if standing is None:
--- /dev/null
+++ b/eiderpin/jobs/elsewhere.py
@@ -0,0 +1,50 @@
+"""While the process before us still owns the ledger: durable jobs are turned down here, all others served."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from eiderpin.core.flows import Answer, Flow
+from eiderpin.core.schedulings import Scheduling
+from eiderpin.interface import Outcome
+from eiderpin.jobs.options import Options
+
+
+class Elsewhere:
+    """Implements `core.durability.Keeper` for jobs that it never takes."""
+
+    def __init__(self, options: Options) -> None:
+        self.options = options
+
+    def covers_class(self, cls: str) -> bool:
+        return cls in self.options.classes
+
+    def kept(self, flow: Flow) -> Answer | None:
+        return None  # the owner knows, and a turn-down promises nothing
+
+    def tell_kept(self, flow: Flow, answer: Answer, tell: Callable[[Answer], None]) -> None:
+        tell(answer)
+
+    def same(self, known: Flow, flow: Flow) -> bool:
+        return known.body == flow.body and known.target == flow.target
+
+    def take(self, flow: Flow) -> bool:
+        return False
+
+    def when_kept(self, flow: Flow, call: Callable[[bool], None]) -> None:
+        call(False)
+
+    def lease(self, scheduling: Scheduling, send: Callable[[], None]) -> None:
+        raise AssertionError("no job is taken here")
+
+    def renew(self, scheduling: Scheduling) -> None:
+        """None is leased here."""
+
+    def released(self, scheduling: Scheduling, outcome: Outcome) -> None:
+        """None is leased here."""
+
+    def end(self, flow: Flow, answer: Answer, told: bool, tell: Callable[[Answer], None]) -> None:
+        tell(answer)
+
+    def late(self, wire_id: str, worker: str, state: str, result: bytes) -> bool:
+        return False
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import os
 import signal
 import socket
@@ -37,6 +38,8 @@
 HALVES = 3000.0  # ms after SIGTERM for which requests that are half sent are waited for
 LATEST_BEGIN = 3000.0  # ms in which a new process takes the clients, whatever it has not heard by then
 OWN_END = 1000.0  # ms after SIGTERM in which jobs may end here; then a successor has them
+LEDGER_EVERY = 100.0  # ms between looks whether our predecessor has given the ledger up ...
+LEDGER_FAILED = 5000.0  # ... and when it could not be read
 LIST_WITHIN = 3000.0  # ms in which the list must come before a ledger's jobs are taken up without it
 FEW_MORE = 6  # connections to workers that a process may add once its successor has the clients
 HELD_SHARE = 0.125  # of the memory, for requests that wait or have not come whole
@@ -66,8 +69,10 @@
         self.core.keeps_results = config.gearman is not None
         self.workers = HttpWorkers(self.loop, self.core, "service.internal", workers)
         self.keeper: JobKeeper | None = None
+        self.ledger_at = math.inf  # when we ask again for a ledger that our predecessor owns
+        self.begun_at = self.clock.now()
         if config.durable is not None:
-            self.keeper = self.open_ledger(config.durable)
+            self.open_ledger(config.durable)
         self.gearman: GearmanFront | None = None
         self.agent_check: AgentCheck | None = None
         self.management: Management | None = None
@@ -102,7 +107,6 @@
         self.drained = False  # by the operators' word
         self.stopping_since: float | None = None  # since SIGTERM
         self.handed_at: float | None = None  # when a successor took the clients
-        self.begun_at = self.clock.now()
         self.serving = not shared  # we accept clients, or did until a successor took them
         self.handover: Handover | None = None
         if shared:
@@ -116,12 +120,14 @@
 
     # -- durable jobs
 
-    def open_ledger(self, options: Options) -> JobKeeper:
-        """Own the ledger and read it. Raises `ConfigError` where that cannot be."""
+    def open_ledger(self, options: Options) -> None:
+        """Own the ledger and read it; one that a predecessor beside us may own is asked for again later.
+        Raises `ConfigError` where it cannot be had."""
         try:
             from eiderpin.durable.files import Locked
             from eiderpin.durable.frames import BadFormat
             from eiderpin.durable.reading import Damaged
+            from eiderpin.jobs.elsewhere import Elsewhere
             from eiderpin.jobs.keeper import JobKeeper
             from eiderpin.jobs.ledger import BrokenRule
         except ModuleNotFoundError as error:
@@ -130,11 +136,30 @@
         try:
             keeper = JobKeeper(self.core, options, self.config.name)
         except (Locked, BadFormat, Damaged, BrokenRule, OSError) as error:
-            raise ConfigError(f"durable.directory {options.folder}: {error}") from None
-        self.core.keeper = keeper
+            if not isinstance(error, Locked) or self.config.inherited is None:
+                raise ConfigError(f"durable.directory {options.folder}: {error}") from None
+            if self.core.keeper is None:
+                self.core.keeper = Elsewhere(options)
+            self.ledger_at = self.clock.now() + LEDGER_EVERY
+            return
+        self.core.keeper = self.keeper = keeper
+        self.ledger_at = math.inf
         self.loop.selector.register(keeper.log, READ, lambda mask: keeper.settle())
         self.workers.early = []
-        return keeper
+
+    def ask_for_ledger(self) -> None:
+        """Our predecessor gives it up when it ends."""
+        assert self.config.durable is not None
+        self.ledger_at = self.clock.now() + LEDGER_EVERY
+        try:
+            self.open_ledger(self.config.durable)
+        except ConfigError as error:
+            logs.event(f"durable jobs are turned down: {error}", logging.ERROR)
+            self.ledger_at = self.clock.now() + LEDGER_FAILED
+            return
+        if self.keeper is not None:
+            self.say("the ledger of durable jobs is ours")
+            self.recover_jobs()
 
     def recover_jobs(self) -> None:
         """Take the ledger's open jobs up, once the workers are known or have been waited for long enough."""
@@ -332,6 +357,9 @@
         if not self.serving and self.stopping_since is None and self.may_begin():
             self.begin()
         rests = self.serving and self.stopping_since is None and self.handed_at is None
+        rests = rests and math.isinf(self.ledger_at)
+        if self.clock.now() >= self.ledger_at:
+            self.ask_for_ledger()
         if self.keeper is not None and not self.keeper.recovered:
             self.recover_jobs()
             rests = False
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -287,7 +287,8 @@
 
     def __init__(
         self, discovery: Discovery, optimized: bool = True, fronts: tuple[str, ...] | dict[str, str] = (),
-        inherits: Inherited | None = None, durable: dict[str, Any] | None = None, **config: Any,
+        inherits: Inherited | None = None, durable: dict[str, Any] | None = None, prelude: str = "",
+        **config: Any,
     ) -> None:  # fmt: skip
         self.folder = tempfile.TemporaryDirectory()
         path = Path(self.folder.name)
@@ -308,7 +309,10 @@
         if inherits is not None:
             env |= {"GW_FD": str(inherits.sock.fileno()), "TMPDIR": inherits.folder.name}
             pass_fds = (inherits.sock.fileno(),)
-        command = [sys.executable, *(["-O"] if optimized else []), "-m", "eiderpin"]
+        # A prelude breaks the program in a place of the test's choice.
+        what = ["-c", f"{prelude}\nimport sys, eiderpin.service\nsys.exit(eiderpin.service.main())"]
+        what = what if prelude else ["-m", "eiderpin"]
+        command = [sys.executable, *(["-O"] if optimized else []), *what]
         self.process = subprocess.Popen(
             command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True, pass_fds=pass_fds
         )
--- a/tests/test_crash.py
+++ b/tests/test_crash.py
@@ -9,14 +9,29 @@
 import sys
 import tempfile
 import threading
+import time
 import unittest
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
+from eiderpin.durable.files import Files
+from eiderpin.durable.log import Log
+from eiderpin.jobs import records
+from eiderpin.jobs.records import Accepted, Opened
 from eiderpin.net.gearman import Kind
-from tests.standins import ROOT, Discovery, GearmanPeer, HttpWorker, Program, http_call, wait_for
+from tests.standins import (
+    ROOT,
+    Discovery,
+    GearmanPeer,
+    GearmanWorker,
+    HttpWorker,
+    Program,
+    http_call,
+    wait_for,
+)
 from tests.test_command import eiderpin
+from tests.test_upgrade import TOOK, said, side
 
 
 class Keeps:
@@ -54,11 +69,11 @@
         self.programs: list[Program] = []
         self.durable = {"directory": self.folder.name, "classes": ["result-post"], **durable}
 
-    def start(self) -> Program:
+    def start(self, prelude: str = "") -> Program:
         last = self.programs[-1] if self.programs else None
         listen = {"listen": last.edge} if last is not None else {}
         fronts: Any = {"gearman": last.at["gearman"]} if last is not None else ("gearman",)
-        program = Program(self.discovery, fronts=fronts, durable=self.durable, **listen)
+        program = Program(self.discovery, fronts=fronts, durable=self.durable, prelude=prelude, **listen)
         self.programs.append(program)
         self.keeps.worker.back = program.edge
         program.ready()
@@ -106,7 +121,103 @@
     return thread
 
 
+DIES = """
+import os, signal
+from eiderpin.core.dispatcher import Dispatcher
+from eiderpin.jobs.keeper import JobKeeper
+from eiderpin.net.workers import HttpWorkers
+def die(*_): os.kill(os.getpid(), signal.SIGKILL)
+def after(cls, name):
+    def call(*args, of=getattr(cls, name)):
+        of(*args)
+        die()
+    setattr(cls, name, call)
+"""
+
+# where it is killed: by what, how often the job then runs in all, and what its client hears
+PLACES: list[tuple[str, str, int, tuple[int, bytes]]] = [
+    ("accept and lease", "JobKeeper.lease = lambda k, s, go: k.when_kept(s.flow, die)", 1, (200, b"ran a1")),
+    ("lease and first byte", "HttpWorkers.send = die", 0, (500, b"failed\n")),
+    ("last byte and 202", "after(Dispatcher, 'written')", 1, (200, b"ran a1")),
+    ("result and its record", "JobKeeper.end = die", 1, (200, b"ran a1")),
+    ("record and answer", "Dispatcher._give = die", 1, (200, b"ran a1")),
+]
+
+
 class Crashes(unittest.TestCase):
+    def test_killed_at_each_place_that_matters(self) -> None:
+        for place, how, runs, answer in PLACES:
+            with self.subTest(between=place), installation(silence_ms=2000) as it:
+                it.keeps.go.set()
+                first = it.start(DIES + how)
+                post_behind(first, "a1")
+                self.assertEqual(first.process.wait(20), -signal.SIGKILL)
+                second = it.start()
+                self.assertEqual(post(second, "a1"), answer)
+                self.assertEqual(post(second, "a1"), answer)
+                self.assertEqual(it.ran["a1"], runs)
+
+    def test_a_gearman_worker_that_drops_mid_job_while_we_are_down(self) -> None:
+        with installation() as it:
+            first = it.start()
+            it.discovery.list("h1", it.keeps.worker.port, lifecycle="Terminating")
+            wait_for(lambda: http_call(first.edge, "GET", "/_health")[0] == 503, "the worker's drain")
+            worker = GearmanWorker(first.at["gearman"], ["result-post"], lambda worker, packet: False)
+            wait_for(lambda: http_call(first.edge, "GET", "/_health")[0] == 200, "the Gearman worker")
+            post_behind(first, "a1")
+            wait_for(lambda: worker.ran[b"a1"], "the job to be out")
+            it.kill()
+            worker.close()
+            it.discovery.list("h1", it.keeps.worker.port)
+            second = it.start()
+            self.assertEqual(post(second, "a1")[0], 500)  # it may have run, and nobody can tell
+            self.assertEqual((it.ran["a1"], worker.ran[b"a1"]), (0, 1))
+
+    def test_progress_keeps_a_lease_and_two_ledgers_share_a_worker(self) -> None:
+        with installation(silence_ms=1500) as it, tempfile.TemporaryDirectory() as folder:
+            first = it.start()
+            other = Program(it.discovery, durable={**it.durable, "directory": folder})
+            it.programs.append(other)
+            other.ready()
+            post_behind(first, "a1")
+            post_behind(other, "b1")
+            wait_for(lambda: it.ran["a1"] and it.ran["b1"], "both jobs to be out")
+            it.kill()  # the other one
+            again = Program(it.discovery, durable={**it.durable, "directory": folder}, listen=other.edge)
+            it.programs.append(again)
+            for _ in range(8):  # over twice the silence
+                for program, name in ((first, "a1"), (again, "b1")):
+                    it.keeps.worker.back = program.edge
+                    self.assertEqual(it.keeps.worker.tell(name, "running", share=0.1), 204)
+                threading.Event().wait(0.4)
+            for program, name in ((first, "a1"), (again, "b1")):
+                it.keeps.worker.back = program.edge
+                self.assertEqual(it.keeps.worker.tell(name, "done", result=f"ran {name}"), 204)
+                self.assertEqual(post(program, name), (200, f"ran {name}".encode()))
+            self.assertEqual(it.ran, {"a1": 1, "b1": 1})
+
+    def test_a_clock_that_has_stepped_back_gives_no_job_more_time(self) -> None:
+        with installation() as it:
+            hour, now, cls, target = 3_600_000.0, time.time() * 1000, "result-post", b"/result-post"
+            log = Log(Files(it.folder.name), lambda record: None)
+            for record in (
+                Opened(now + hour, 1, "t1", ("result-post",)),
+                Accepted(now + hour, 1, cls, "a1", "a1", target, b"x", now + hour + 1500),
+                Accepted(now + hour, 2, cls, "a2", "a2", target, b"x", now + hour + 60_000),
+            ):
+                packed = records.pack(record)
+                log.append(packed.kind, packed.version, packed.body)
+            log.close()
+            it.discovery.list("h1", it.keeps.worker.port, lifecycle="Terminating")
+            program = Program(it.discovery, durable=it.durable, fronts=("gearman",))
+            it.programs.append(program)
+            wait_for(lambda: any("recovered jobs: 2 place" in x for x in program.lines), "the recovery")
+            peer = GearmanPeer(program.at["gearman"])
+            # The first ends by its deadline, 1.5 s and not an hour from now; the second does not.
+            wait_for(lambda: peer.ask(Kind.GET_STATUS_UNIQUE, b"a1").args[1] == b"0", "the first to end")
+            self.assertEqual(peer.ask(Kind.GET_STATUS_UNIQUE, b"a2").args[1], b"1")
+            peer.close()
+
     def test_a_job_that_runs_when_the_dispatcher_is_killed_ends_with_its_workers_word(self) -> None:
         with installation() as it:
             first = it.start()
@@ -236,6 +347,45 @@
             self.assertEqual(post(second, "a1")[0], 500)  # it may have run
             self.assertEqual(it.ran, {"a1": 1})
 
+    def test_the_ledger_changes_hands_in_an_upgrade(self) -> None:
+        with side() as it, tempfile.TemporaryDirectory() as folder:
+            durable = {"directory": folder, "classes": ["result-post"]}
+            old = it.serving(durable=durable)
+            self.assertEqual(post(old, "q1"), (200, b"h1 ran q1"))
+            asked: list[tuple[int, bytes]] = []
+            thread = threading.Thread(target=lambda: asked.append(post(old, "s1")))
+            thread.start()
+            wait_for(lambda: it.held.worker.ran["s1"], "the job to be out")
+            new = it.serving(durable=durable)
+            said(old, TOOK)
+            old.process.send_signal(signal.SIGTERM)
+            # The old one has the ledger until its job has ended; here such jobs are turned down meanwhile.
+            self.assertEqual(post(new, "q2")[0], 503)
+            self.assertEqual(http_call(new.edge, "POST", "/time-lookup", Req_Id="q3")[0], 200)
+            it.held.go.set()
+            thread.join(20)
+            self.assertEqual(asked, [(200, b"ran s1")])
+            self.assertEqual(old.process.wait(20), 0)
+            said(new, "the ledger of durable jobs is ours")
+            self.assertEqual(post(new, "s1"), (200, b"ran s1"))
+            self.assertEqual(post(new, "q1"), (200, b"h1 ran q1"))
+            wait_for(lambda: post(new, "q2") == (200, b"h1 ran q2"), "the job that was turned down")
+            self.assertEqual(max(it.held.worker.ran.values()), 1)
+
+    def test_an_old_process_that_is_killed_leaves_its_leases_to_the_new_one(self) -> None:
+        with side() as it, tempfile.TemporaryDirectory() as folder:
+            durable = {"directory": folder, "classes": ["result-post"]}
+            old = it.serving(durable=durable)
+            post_behind(old, "s1")
+            wait_for(lambda: it.held.worker.ran["s1"], "the job to be out")
+            new = it.serving(durable=durable)
+            said(old, TOOK)
+            old.process.kill()
+            said(new, "recovered jobs: 0 place, 1 wait, 0 late")
+            it.held.go.set()
+            wait_for(lambda: post(new, "s1") == (200, b"ran s1"), "the answer")
+            self.assertEqual(it.held.worker.ran["s1"], 1)
+
     def test_posts_through_kills_and_disk_faults(self) -> None:
         done = subprocess.run(
             [sys.executable, "-m", "benchmarks.crash_jobs", "--posts", "240", "--kills", "3",
