--- a/eiderpin/jobs/recovery.py
+++ b/eiderpin/jobs/recovery.py
@@ -75,7 +75,8 @@
 
 
 def _entry_of(core: Dispatcher, workers: WorkerLink, lease: Lease) -> ServiceEntry:
-    """The worker that holds the lease. One that is not listed (any more) gets nothing new, but may call back."""
+    """The worker that holds the lease. One that is not listed (any more) gets nothing new, but may call
+    back."""
     leased = lease.leased
     known = core.entries.get(leased.worker)
     if known is not None and known.link is workers:
