--- a/eiderpin/durable/frames.py
+++ b/eiderpin/durable/frames.py
@@ -1,8 +1,8 @@
 """The format of a segment: a header, then frames. Pure: bytes in, records out.
 
-A frame names how much of its segment was known to be on disk when it was written. So a reader can tell a torn
-tail (nothing after the bad place was written by a process that trusted it) from damage to what had been
-acknowledged.
+A frame names how much of its segment was known to be on disk when it was written. So a reader can tell a
+torn tail (nothing after the bad place was written by a process that trusted it) from damage to what had
+been acknowledged.
 """
 
 from __future__ import annotations
@@ -83,8 +83,8 @@
 
 def scan(data: bytes, limit: int | None = None) -> Scan:
     """Read a segment's frames, up to `limit` bytes where its successor names that; it never guesses past a
-    bad
-    one. A segment with a successor was synced whole before that began, so a bad frame there is damage."""
+    bad one. A segment with a successor was synced whole before that began, so a bad frame there is
+    damage."""
     found = Scan()
     end = len(data) if limit is None else limit
     while found.end < end:
--- a/eiderpin/jobs/ledger.py
+++ b/eiderpin/jobs/ledger.py
@@ -186,9 +186,8 @@
     # -- retention
 
     def keeps(self, job: Job) -> bool:
-        """Whether its end has to be known to a resubmission: it has a result, or it has failed and must
-        not run
-        twice. A client that was told of a failure hears of it again, whether the job began or not; a
+        """Whether its end has to be known to a resubmission: it has a result, or it has failed and must not
+        run twice. A client that was told of a failure hears of it again, whether the job began or not; a
         turn-down leaves the name free."""
         if job.ended is None or job.ended.verdict == "succeeded":
             return True
--- a/eiderpin/logs.py
+++ b/eiderpin/logs.py
@@ -1,9 +1,8 @@
 """Events on standard error, one a line: key=value for people, JSON for programs.
 
 Levels: `error` for what needs a person, `warning` for what went wrong and was met, `info` for changes of
-state,
-`debug` for what happens to each job. Every line bears the dispatcher's name, and a job's id where it is of
-one.
+state, `debug` for what happens to each job. Every line bears the dispatcher's name, and a job's id where it
+is of one.
 """
 
 from __future__ import annotations
--- a/tests/disks.py
+++ b/tests/disks.py
@@ -1,5 +1,5 @@
-"""A disk in memory for the log's seam: what is not synced is lost in a crash, in whole or in part; faults on
-request."""
+"""A disk in memory for the log's seam: what is not synced is lost in a crash, in whole or in part; faults
+on request."""
 
 from __future__ import annotations
 
