--- a/benchmarks/durable.py
+++ b/benchmarks/durable.py
@@ -72,7 +72,8 @@
     """One run of the program; the figures of it."""
     folder.mkdir()
     part = {"directory": str(folder / "ledger"), "classes": ["result-post"]} if durable else None
-    program = Program(folder, [(f"w{i}", port) for i, port in enumerate(ports)], part)
+    # Slots enough for all clients: it is the dispatcher that is measured, not its workers' room.
+    program = Program(folder, [(f"w{i}", port) for i, port in enumerate(ports)], part, slots=args.clients)
     for pipe in pipes:
         pipe.send(program.edge)
     program.start()
--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -46,10 +46,12 @@
 class Program:
     """The dispatcher in a process of its own, at the same addresses each time that it is started."""
 
-    def __init__(self, folder: Path, workers: list[tuple[str, int]], durable: dict[str, Any] | None) -> None:
+    def __init__(
+        self, folder: Path, workers: list[tuple[str, int]], durable: dict[str, Any] | None, slots: int = 8
+    ) -> None:
         self.edge, self.gearman = free_port(), free_port()
         self.config, self.parts = folder / "config.json", folder / "parts.json"
-        rows = [{"name": name, "address": f"127.0.0.1:{port}", "slots": 8} for name, port in workers]
+        rows = [{"name": name, "address": f"127.0.0.1:{port}", "slots": slots} for name, port in workers]
         said = {"name": "bench", "listen": f"127.0.0.1:{self.edge}", "workers": rows, "settings": settings(),
                 "limits": {"sockets": 4096, "memory_mb": 256}}  # fmt: skip
         self.config.write_text(json.dumps(said))
--- a/eiderpin/jobs/records.py
+++ b/eiderpin/jobs/records.py
@@ -12,7 +12,7 @@
 from eiderpin.durable.frames import BadFormat, Record
 
 
-class Opened(msgspec.Struct, array_like=True, frozen=True):
+class Opened(msgspec.Struct, array_like=True, frozen=True, gc=False):
     """A process has taken the ledger over."""
 
     at: float  # ms of Unix time, as in all records
@@ -21,7 +21,7 @@
     single: tuple[str, ...] = ()  # classes that may not run twice, from here on
 
 
-class Accepted(msgspec.Struct, array_like=True, frozen=True):
+class Accepted(msgspec.Struct, array_like=True, frozen=True, gc=False):
     """A job has been taken on."""
 
     at: float
@@ -42,7 +42,7 @@
     ended_print: bytes = b""  # in checkpoints, of jobs that have ended: of target and body, which are gone
 
 
-class Leased(msgspec.Struct, array_like=True, frozen=True):
+class Leased(msgspec.Struct, array_like=True, frozen=True, gc=False):
     """It may be sent to this worker from now on, and nobody else."""
 
     at: float
@@ -54,7 +54,7 @@
     address: str = ""
 
 
-class Released(msgspec.Struct, array_like=True, frozen=True):
+class Released(msgspec.Struct, array_like=True, frozen=True, gc=False):
     """A lease has ended without a result."""
 
     at: float
@@ -64,7 +64,7 @@
     why: str
 
 
-class Ended(msgspec.Struct, array_like=True, frozen=True):
+class Ended(msgspec.Struct, array_like=True, frozen=True, gc=False):
     """Its final answer."""
 
     at: float
