--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -71,7 +71,7 @@
         now = self.clock.now()
         name = (flow.cls, flow.unique)
         self.counters.add("in.flows")
-        keeper = self.keeper if self.keeper is not None and self.keeper.covers_class(flow.cls) else None
+        keeper = self.keeper if self.is_durable(flow.cls) else None
         if flow.unique:
             open_flow = self._by_unique.get(name)
             kept = self._kept.get(name)
@@ -85,7 +85,8 @@
                 answer = keeper.kept(flow)
                 kept = (now, answer, False) if answer is not None else None
             if open_flow is not None:
-                if keeper is not None and not keeper.same(open_flow, flow):
+                same = open_flow.body == flow.body and open_flow.target == flow.target
+                if keeper is not None and not same:
                     raise OtherJob
                 self.counters.add("in.joined")
                 if waiter is not None:
@@ -112,14 +113,17 @@
         flow.wire_id = self._wire_name(flow.unique)
         self._by_wire[flow.wire_id] = flow
         if keeper is not None and not keeper.take(flow):
-            self.counters.add("in.not_durable")
-            self._finish(flow, Answer(Verdict.TURNED_DOWN, wait=self.settings.max_wait_advice or WAIT_ADVICE))
+            self._not_taken(flow)
             return flow
         if flow.unique:
             self._by_unique[name] = flow
         self._events.append(self.request_of(flow))
         return flow
 
+    def is_durable(self, cls: str) -> bool:
+        """Whether jobs of this class outlive the process."""
+        return self.keeper is not None and self.keeper.covers_class(cls)
+
     def request_of(self, flow: Flow) -> api.Request:
         """The flow as the decisions are told of it."""
         return api.Request(
@@ -161,10 +165,13 @@
     def turn_down(self, flow: Flow) -> None:
         """It could not be taken on after all, and nothing of it has been sent."""
         if not flow.ended:
-            self.counters.add("in.not_durable")
             self._events.append(api.RequestGone(flow.id))
-            wait = self.settings.max_wait_advice or WAIT_ADVICE
-            self._finish(flow, Answer(Verdict.TURNED_DOWN, wait=wait))
+            self._not_taken(flow)
+
+    def _not_taken(self, flow: Flow) -> None:
+        self.counters.add("in.not_durable")
+        wait = self.settings.max_wait_advice or WAIT_ADVICE
+        self._finish(flow, Answer(Verdict.TURNED_DOWN, wait=wait))
 
     def detach(self, flow: Flow, waiter: EdgeSide) -> None:
         """As `leave`, but a single-shot job that may have begun goes on, so that a resubmission finds it."""
--- a/eiderpin/core/durability.py
+++ b/eiderpin/core/durability.py
@@ -27,10 +27,6 @@
         """Tell a kept answer, once it is on disk that somebody has been told."""
         ...
 
-    def same(self, known: Flow, flow: Flow) -> bool:
-        """Whether both ask for the same."""
-        ...
-
     def take(self, flow: Flow) -> bool:
         """Take it on; False: the disk takes nothing now."""
         ...
--- a/eiderpin/core/moves.py
+++ b/eiderpin/core/moves.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from eiderpin import interface as api
-from eiderpin.core.dispatcher import ANSWER_MARGIN, Dispatcher
+from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.flows import EdgeSide, Flow, TableFull
 from eiderpin.core.schedulings import Scheduling
 
@@ -78,9 +78,5 @@
         core.take_over(flow, waiter)
     except TableFull:
         raise ValueError("there is no room") from None
-    request = api.Request(
-        flow.id, flow.cls, moved.left - ANSWER_MARGIN, flow.slots, flow.memory, flow.tenant, flow.key,
-        flow.hint, flow.client_retry, flow.priority,
-    )  # fmt: skip
-    core.tell(api.Adopted(request, standing))
+    core.tell(api.Adopted(core.request_of(flow), standing))
     return flow
--- a/eiderpin/jobs/elsewhere.py
+++ b/eiderpin/jobs/elsewhere.py
@@ -25,9 +25,6 @@
     def tell_kept(self, flow: Flow, answer: Answer, tell: Callable[[Answer], None]) -> None:
         tell(answer)
 
-    def same(self, known: Flow, flow: Flow) -> bool:
-        return known.body == flow.body and known.target == flow.target
-
     def take(self, flow: Flow) -> bool:
         return False
 
--- a/eiderpin/jobs/keeper.py
+++ b/eiderpin/jobs/keeper.py
@@ -50,7 +50,6 @@
         self.name = name
         self.recovered = False
         self.behind: set[int] = set()  # jobs of which the disk does not hold all, since it had failed
-        self._again: Deadline | None = None
         self._silences: dict[Scheduling, Deadline] = {}
         self._held: dict[int, int] = {}  # job to how many of its records are not known to be on disk
         self._unwritten: set[int] = set()  # jobs whose taking on the disk has refused
@@ -79,7 +78,11 @@
         packed = records.pack(record)
         self.log.append(packed.kind, packed.version, packed.body, told)
         if self.log.wants_checkpoint:
-            self.log.checkpoint([records.pack(r) for r in self.ledger.snapshot()])
+            self.log.checkpoint(self.snapshot())
+
+    def snapshot(self) -> list[Record]:
+        """All that holds now, as it is written."""
+        return [records.pack(r) for r in self.ledger.snapshot()]
 
     @property
     def failed(self) -> bool:
@@ -101,11 +104,11 @@
         deadlines, clock = self.core.deadlines, self.core.clock
         if self.log.came_back():
             # What has happened since the snapshot that brought it back is not in that one.
-            self.log.checkpoint([records.pack(r) for r in self.ledger.snapshot()])
+            self.log.checkpoint(self.snapshot())
             self.put(Opened(self.now(), self.ledger.term, self.name, self.single), self.back)
             return
-        self.log.try_again([records.pack(r) for r in self.ledger.snapshot()])
-        self._again = deadlines.set(clock.now() + TRY_AGAIN, self.look_again)
+        self.log.try_again(self.snapshot())
+        deadlines.set(clock.now() + TRY_AGAIN, self.look_again)
 
     def back(self, ok: bool) -> None:
         if not ok:
@@ -145,9 +148,6 @@
         served = job.ended.verdict == Verdict.SERVED.value
         return Answer(Verdict.SERVED, job.ended.result) if served else Answer(Verdict.FAILED)
 
-    def same(self, known: Flow, flow: Flow) -> bool:
-        return known.body == flow.body and known.target == flow.target
-
     def take(self, flow: Flow) -> bool:
         now = self.now()
         number = self.ledger.next_job()
--- a/eiderpin/net/edge.py
+++ b/eiderpin/net/edge.py
@@ -405,8 +405,8 @@
 
     def take(self, edge: EdgeConnection, cls: str, message: http.Message) -> None:
         try:
-            durable = self.core.keeper is not None and self.core.keeper.covers_class(cls)
-            flow = make_flow(cls, message, self.loop.clock.now(), self.core.classes[cls].deadline, durable)
+            default = self.core.classes[cls].deadline
+            flow = make_flow(cls, message, self.loop.clock.now(), default, self.core.is_durable(cls))
             if self.jobs >= self.most:
                 self.counters.add("in.over_connections")
                 edge.turn_down(cls)
--- a/eiderpin/net/gearman_front.py
+++ b/eiderpin/net/gearman_front.py
@@ -222,7 +222,7 @@
         elif joined.job and self.core.keeper is not None:
             # That a job has been taken on is said once it outlives us.
             self.core.keeper.when_kept(joined, self.say_later(lambda: self.put(Kind.JOB_CREATED, handle)))
-        elif spec.name in self.durable() and not joined.job and flow is joined:
+        elif self.core.is_durable(cls) and not joined.job and flow is joined:
             self.say_in_turn(self.not_taken)
         else:
             self.say_in_turn(lambda: self.put(Kind.JOB_CREATED, handle))
@@ -230,10 +230,6 @@
     def not_taken(self) -> None:
         self.error("NOT_TAKEN", "the disk of durable jobs takes nothing now: come back later")
 
-    def durable(self) -> set[str]:
-        keeper = self.core.keeper
-        return {c for c in self.core.classes if keeper is not None and keeper.covers_class(c)}
-
     def say_in_turn(self, say: Callable[[], None]) -> None:
         """Clients take answers to submissions in the order of these."""
         if self.unsaid:
