Let the tests' workers run what they took when their 202 finds nobody

A dispatcher that is killed once its bytes are out may be gone before the worker's 202; the stand-in's write then raised, and it never ran what it had counted as run.

Change: a stand-in's answer to somebody who has gone is dropped, and the job goes on; the test now holds the 202 back until the dispatcher is dead, so that it meets this order each time.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -72,12 +72,14 @@
         return self.rfile.read(int(self.headers.get("Content-Length") or 0))
 
     def say(self, status: int, body: bytes = b"", **headers: str) -> None:
+        """Whoever asked may have gone: what was taken runs all the same."""
         self.send_response(status)
         for name, value in headers.items():
             self.send_header(name.replace("_", "-"), value)
         self.send_header("Content-Length", str(len(body)))
-        self.end_headers()
-        self.wfile.write(body)
+        with contextlib.suppress(OSError):
+            self.end_headers()
+            self.wfile.write(body)
 
 
 class Discovery:
--- a/tests/test_crash.py
+++ b/tests/test_crash.py
@@ -39,11 +39,14 @@
 
     def __init__(self, name: str = "h1") -> None:
         self.go = threading.Event()
+        self.answers: threading.Event | None = None  # where given, a 202 waits for it
         self.statuses: list[int] = []
         self.worker = HttpWorker(name, self.act)
 
     def act(self, worker: HttpWorker, rid: str, handler: Any) -> None:
         worker.ran[rid] += 1
+        if self.answers is not None:
+            self.answers.wait(20)
         handler.say(202)
         threading.Thread(target=self.later, args=(rid,), daemon=True).start()
 
@@ -150,8 +153,12 @@
             with self.subTest(between=place), installation(silence_ms=2000) as it:
                 it.keeps.go.set()
                 first = it.start(DIES + how)
+                it.keeps.answers = threading.Event()  # a 202 finds the dispatcher dead, or none was due yet
+                if place.startswith(("result", "record")):
+                    it.keeps.answers.set()
                 post_behind(first, "a1")
                 self.assertEqual(first.process.wait(20), -signal.SIGKILL)
+                it.keeps.answers.set()
                 second = it.start()
                 self.assertEqual(post(second, "a1"), answer)
                 self.assertEqual(post(second, "a1"), answer)
