Hand the ledger of durable jobs to the new process with its leases and clients

Need: in an upgrade the old process kept the ledger until its last durable job had ended, and the new one turned such jobs down for as long. A checkpoint was packed in the loop; a call-back of an unknown id walked all kept jobs.

Change: eiderpin/ownership.py takes and gives the ledger up. Once the old process is to end, its open attempts are with HTTP workers that took them and no record is on its way, it closes the log, says so over the link and sends each waiting client's socket; the new one recovers as after a crash and takes the clients as ones who ask again by name. If the new one dies, the old one asks for the ledger again. The flusher packs checkpoints. Ids at the workers have an index. The protocol's model has three crashes.

--- a/benchmarks/durable.py
+++ b/benchmarks/durable.py
@@ -140,12 +140,13 @@
 config.durable = Options(sys.argv[2], frozenset(["result-post"]))
 s = service.Service(config)
 opened = time.perf_counter() - begun
-s.recover_jobs()
+s.ledger.turn()
 took = time.perf_counter() - begun
-print(json.dumps({"open_s": round(opened, 2), "recover_s": round(took, 2), "jobs": len(s.keeper.ledger.jobs),
-                  "open_jobs": s.keeper.ledger.open_jobs,
+ledger = s.ledger.keeper.ledger
+print(json.dumps({"open_s": round(opened, 2), "recover_s": round(took, 2), "jobs": len(ledger.jobs),
+                  "open_jobs": ledger.open_jobs,
                   "memory_mb": round(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024)}))
-s.keeper.close()
+s.ledger.close()
 """
 
 
--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -13,7 +13,7 @@
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Clock, Deadline, Deadlines
 from eiderpin.core.durability import Keeper, OtherJob
-from eiderpin.core.flows import Answer, EdgeSide, Flow, SlotTable, TableFull, Verdict
+from eiderpin.core.flows import FAILED, Answer, EdgeSide, Flow, SlotTable, TableFull, Verdict
 from eiderpin.core.invariants import must
 from eiderpin.core.schedulings import Scheduling, ServiceEntry, WorkerLink
 
@@ -24,7 +24,6 @@
 WAIT_ADVICE = 500.0  # ms told to a turned-down client where the decisions name no figure
 KEPT_FOR = 60_000.0  # ms for which a result is kept for a resubmission
 KEPT_COUNT = 8192
-FAILED = Answer(Verdict.FAILED)
 KEPT_BYTES = 16 * 1024 * 1024
 
 
@@ -279,7 +278,7 @@
 
     # -- with an older or a newer process beside us
 
-    def tell(self, event: api.Beside | api.Adopted | api.Request) -> None:
+    def tell(self, event: api.Beside | api.Adopted | api.Request | api.RequestGone) -> None:
         """What that process holds, or hands to us, is for the decisions to know; so is what a ledger
         brings."""
         self._events.append(event)
--- a/eiderpin/core/flows.py
+++ b/eiderpin/core/flows.py
@@ -82,6 +82,9 @@
     wait: float | None = None  # ms after which a turned-down client may come back
 
 
+FAILED = Answer(Verdict.FAILED)
+
+
 class EdgeSide(Protocol):
     """Whoever waits for a flow's answer: one connection's request at some front."""
 
--- a/eiderpin/core/moves.py
+++ b/eiderpin/core/moves.py
@@ -33,6 +33,40 @@
     standing: dict[str, Any]  # what the decisions know of it: an `api.Standing`
 
 
+@dataclass(slots=True)
+class Waits:
+    """A client that waits for a durable job, on its way to the ledger's next owner."""
+
+    cls: str
+    unique: str
+    target: str
+    body: str
+    left: float  # ms until its answer is due
+
+
+def let_durable_go(core: Dispatcher, flow: Flow) -> list[tuple[Waits, EdgeSide]]:
+    """Take a durable flow out of here: the ledger says all that there is to say of it. Returns those who wait
+    for it."""
+    now = core.clock.now()
+    waits = Waits(
+        flow.cls, flow.unique, flow.target.decode("latin-1"), flow.body.decode("latin-1"), flow.deadline - now
+    )
+    waiters = list(flow.waiters)
+    core.let_go(flow)
+    core.tell(api.RequestGone(flow.id))
+    return [(waits, waiter) for waiter in waiters]
+
+
+def asked_by(core: Dispatcher, waits: Waits) -> Flow:
+    """The flow by which it asks again at the next owner. Raises `ValueError`."""
+    if waits.cls not in core.classes or not waits.unique:
+        raise ValueError("no such job")
+    return Flow(
+        waits.cls, waits.unique, waits.target.encode("latin-1"), waits.body.encode("latin-1"),
+        core.clock.now() + float(waits.left),
+    )  # fmt: skip
+
+
 def hand_out(core: Dispatcher, flow: Flow) -> Moved | None:
     """Take a flow out of here, and out of the decisions; None where it has to stay. Nothing is called off."""
     core.decide()  # what has come in for it must not be lost
--- a/eiderpin/durable/flusher.py
+++ b/eiderpin/durable/flusher.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
 
 from eiderpin.durable import frames, reading
 from eiderpin.durable.files import Files, write_all
@@ -12,8 +13,11 @@
 SEGMENT_BYTES = 16 << 20
 
 
-class Snapshot(list[Record]):
-    """Records that say all that the records put before them said."""
+@dataclass(slots=True, frozen=True)
+class Snapshot:
+    """Records that say all that the records put before them said; made as they are written, once."""
+
+    records: Iterable[Record]
 
 
 class Flusher(threading.Thread):
@@ -35,7 +39,7 @@
         # Shared with the loop's thread, under the lock:
         self.changed = threading.Condition()
         self.queue: list[Record | Snapshot] = []
-        self.renewal: Sequence[Record] | None = None
+        self.renewal: Iterable[Record] | None = None
         self.ending = False
         self.synced = 0  # records committed, of all that were put since the last failure
         self.failed: OSError | None = None
@@ -51,7 +55,7 @@
             self.queue += items
             self.changed.notify()
 
-    def renew(self, records: Sequence[Record]) -> None:
+    def renew(self, records: Iterable[Record]) -> None:
         """After a failure: begin a new segment with `records`, which say all that holds."""
         with self.changed:
             self.renewal = records
@@ -96,19 +100,14 @@
     def _take(self, group: Sequence[Record | Snapshot]) -> None:
         """Commit the records, and what a snapshot replaces once those before it are on disk."""
         records: list[Record] = []
-        for item in [*group, Snapshot()]:
+        for item in group:
             if isinstance(item, Record):
                 records.append(item)
                 continue
             self._commit(records)
-            with self.changed:
-                self.synced += len(records)
-                self.commits += bool(records)
-                self.records += len(records)
-                self.largest = max(self.largest, len(records))
             records = []
-            if item:
-                self._checkpoint(item)
+            self._checkpoint(item.records)
+        self._commit(records)
 
     def _begin(self, number: int, before: int) -> None:
         fd = self.files.create(reading.segment_name(number))
@@ -135,13 +134,18 @@
         self.offset += len(data)
         self.bytes += len(data)
         self.synced_offset = self.offset
+        with self.changed:
+            self.synced += len(group)
+            self.commits += 1
+            self.records += len(group)
+            self.largest = max(self.largest, len(group))
 
-    def _checkpoint(self, records: Sequence[Record]) -> None:
+    def _checkpoint(self, records: Iterable[Record]) -> None:
         """The state as it stood before the segment that is begun here; then what it replaces goes."""
         self._begin(self.number + 1, self.synced_offset)
         self._write_checkpoint(records)
 
-    def _renew(self, records: Sequence[Record]) -> None:
+    def _renew(self, records: Iterable[Record]) -> None:
         # The failed segment counts up to what was synced before the failure, whatever the disk has of the
         # rest.
         self._begin(self.number + 1, self.synced_offset)
@@ -149,7 +153,7 @@
         with self.changed:
             self.failed, self.synced = None, 0
 
-    def _write_checkpoint(self, records: Sequence[Record]) -> None:
+    def _write_checkpoint(self, records: Iterable[Record]) -> None:
         name = reading.checkpoint_name(self.number)
         fd = self.files.create(name + ".tmp")
         try:
--- a/eiderpin/durable/log.py
+++ b/eiderpin/durable/log.py
@@ -5,7 +5,7 @@
 
 import os
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable
 
 from eiderpin.durable import reading
 from eiderpin.durable.files import Files
@@ -85,8 +85,9 @@
     def wants_checkpoint(self) -> bool:
         return self.failed is None and self._bytes >= self.checkpoint_bytes
 
-    def checkpoint(self, records: Sequence[Record]) -> None:
-        """`records` say all that holds, with what has been appended so far."""
+    def checkpoint(self, records: Iterable[Record]) -> None:
+        """`records` say all that holds, with what has been appended so far. They may be made as they are
+        asked for, which the flusher's thread does, once."""
         self._bytes = 0
         self._batch.append(Snapshot(records))
 
@@ -109,7 +110,7 @@
             for _, told in lost:
                 told(False)
 
-    def try_again(self, records: Sequence[Record]) -> None:
+    def try_again(self, records: Iterable[Record]) -> None:
         """After a failure, write all that holds anew. `came_back` says later whether that went well."""
         self.flusher.renew(records)
 
--- a/eiderpin/jobs/keeper.py
+++ b/eiderpin/jobs/keeper.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import msgspec
 
@@ -19,7 +19,7 @@
 from eiderpin.durable.frames import Record
 from eiderpin.durable.log import Log, NotWritable
 from eiderpin.jobs import records
-from eiderpin.jobs.ledger import Job, Ledger, MayNotRun, asks_same
+from eiderpin.jobs.ledger import Ledger, MayNotRun, asks_same
 from eiderpin.jobs.options import Options
 from eiderpin.jobs.records import Accepted, AnyRecord, Ended, Opened, Released
 
@@ -80,9 +80,10 @@
         if self.log.wants_checkpoint:
             self.log.checkpoint(self.snapshot())
 
-    def snapshot(self) -> list[Record]:
-        """All that holds now, as it is written."""
-        return [records.pack(r) for r in self.ledger.snapshot()]
+    def snapshot(self) -> Iterator[Record]:
+        """All that holds now, as it is written. The records are gathered here; whoever writes them packs
+        them, so that the loop does not stand still for a long ledger."""
+        return records.pack_all(list(self.ledger.snapshot()))
 
     @property
     def failed(self) -> bool:
@@ -305,7 +306,7 @@
         self._waits.setdefault(number, []).append(lambda ok: once(answer))
 
     def late(self, wire_id: str, worker: str, state: str, result: bytes) -> bool:
-        job = self.by_wire(wire_id)
+        job = self.ledger.by_wire(wire_id)
         if job is None or not any(x.leased.worker == worker for x in job.leases):
             return False
         ended = job.ended
@@ -316,10 +317,6 @@
             self.write_or_remember(record, job.accepted.job)
         return True
 
-    def by_wire(self, wire_id: str) -> Job | None:
-        """Few ask: a walk will do."""
-        return next((j for j in self.ledger.jobs.values() if j.accepted.wire_id == wire_id), None)
-
     def close(self) -> None:
         self.log.close()
         flusher = self.log.flusher
--- a/eiderpin/jobs/ledger.py
+++ b/eiderpin/jobs/ledger.py
@@ -91,6 +91,7 @@
         self.last_at = 0.0  # of all records: time never goes back behind it
         self.last_job = 0
         self._names: dict[tuple[str, str], int] = {}
+        self._wires: dict[str, int] = {}  # of each id that workers know, the last job that had it
         self._ended: OrderedDict[int, float] = OrderedDict()  # job to when it ended, oldest first
         self._kept_bytes = 0
 
@@ -116,6 +117,10 @@
         number = self._names.get((cls, unique))
         return self.jobs.get(number) if number is not None else None
 
+    def by_wire(self, wire_id: str) -> Job | None:
+        number = self._wires.get(wire_id)
+        return self.jobs.get(number) if number is not None else None
+
     def next_job(self) -> int:
         return self.last_job + 1
 
@@ -150,6 +155,7 @@
             except NameTaken as error:
                 raise BrokenRule(str(error)) from None
             self._names[record.cls, record.unique] = record.job
+        self._wires[record.wire_id] = record.job
         self.jobs[record.job] = Job(record)
         self.last_job = max(self.last_job, record.job)
 
@@ -197,6 +203,8 @@
         job = self.jobs.pop(number)
         if self._names.get(job.name) == number:
             del self._names[job.name]
+        if self._wires.get(job.accepted.wire_id) == number:
+            del self._wires[job.accepted.wire_id]
 
     def expire(self, now: float) -> int:
         """Forget answers that need not be kept any longer; returns how many."""
--- a/eiderpin/jobs/records.py
+++ b/eiderpin/jobs/records.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Iterator
 from typing import TypeAlias
 
 import msgspec
@@ -87,6 +88,13 @@
     return Record(_NUMBERS[type(record)], VERSION, _ENCODER.encode(record))
 
 
+def pack_all(said: Iterable[AnyRecord]) -> Iterator[Record]:
+    """As `pack`, one after the other, in whatever thread asks for them."""
+    encoder = msgspec.msgpack.Encoder()
+    for record in said:
+        yield Record(_NUMBERS[type(record)], VERSION, encoder.encode(record))
+
+
 def unpack(record: Record) -> AnyRecord:
     """Raises `BadFormat` for a kind or version that this program does not know."""
     decoder = _DECODERS.get(record.kind)
--- a/eiderpin/net/edge.py
+++ b/eiderpin/net/edge.py
@@ -181,6 +181,12 @@
         self.front.jobs += (flow is not None) - (self.flow is not None)
         self.flow = flow
 
+    def can_go(self, flow: Flow) -> bool:
+        """Whether it waits for this flow, and nothing else has come or is going out here."""
+        if self.flow is not flow or self.conn.closing:
+            return False
+        return self.reader.idle and not self.waiting and not self.conn.unsent
+
     def refuse_more(self) -> None:
         """Nothing more is taken here. A job under way is still answered; it may have run by now."""
         self.conn.on_data = _ignore
@@ -297,12 +303,9 @@
         return len(self.connections) < self.most + self.extra
 
     def movable(self, flow: Flow) -> EdgeConnection | None:
-        """The connection that waits for this flow, where it can go to another process with it: nothing else
-        has come or is going out there."""
+        """The connection that waits for this flow, where it can go to another process with it."""
         edge = flow.waiters[0] if len(flow.waiters) == 1 else None
-        if not isinstance(edge, EdgeConnection) or edge.flow is not flow or edge.conn.closing:
-            return None
-        return edge if edge.reader.idle and not edge.waiting and not edge.conn.unsent else None
+        return edge if isinstance(edge, EdgeConnection) and edge.can_go(flow) else None
 
     def adopt(self, sock: socket.socket) -> EdgeConnection:
         """A client's connection from another process; its flow is on its way."""
--- a/eiderpin/net/handover.py
+++ b/eiderpin/net/handover.py
@@ -9,6 +9,8 @@
     {"state": {...}}                what I hold: on workers, of descriptors; and my readiness
     {"adopt": {...}, "ask": 7}      a job, and with this line its client's socket; answered by
     {"adopted": 7}, {"refused": 7}  the last where it has to stay with the one who sent it
+    {"ledger": true}                I have given the ledger of durable jobs up: it is yours
+    {"waits": {...}, "ask": 7}      a client of one of its jobs, and its socket; answered as above
     {"news": {...}, "ask": 7}       a worker's call-back of an id that I do not know
     {"told": 7}                     it has been taken, or nobody here knows that id either
 
@@ -24,15 +26,16 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import asdict
-from typing import Any
+from typing import Any, Protocol
 
 import orjson
 
 from eiderpin import interface as api
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher
-from eiderpin.core.moves import Moved, adopt, hand_out
-from eiderpin.net.edge import Edge
+from eiderpin.core.flows import Flow
+from eiderpin.core.moves import Moved, Waits, adopt, asked_by, hand_out
+from eiderpin.net.edge import Edge, EdgeConnection
 from eiderpin.net.loop import Connection, Listener, Loop
 
 HELLO_WITHIN = 1000.0  # ms; who is silent longer at first is no process of ours
@@ -67,7 +70,7 @@
         self.last_told: dict[str, Any] = {}
         self.told_at = 0.0
         self.asked: dict[int, tuple[Reply, Deadline]] = {}
-        self.given: dict[int, tuple[Moved, socket.socket]] = {}  # not known to have been adopted
+        self.given: dict[int, tuple[Moved | Waits, socket.socket]] = {}  # not known to have been adopted
         self.came: deque[int] = deque()  # descriptors that have come, and wait for their line
         self.limit = self.loop.deadlines.set(self.loop.clock.now() + HELLO_WITHIN, self.end)
         self.look: Deadline | None = None
@@ -149,6 +152,13 @@
             sock = socket.socket(fileno=self.came.popleft())
             done = self.handover.take(said["adopt"], sock)
             self.put({"adopted" if done else "refused": int(said["ask"])})
+        elif "ledger" in said:
+            if self.handover.ledger is not None:
+                self.handover.ledger.offered()
+        elif "waits" in said:
+            sock = socket.socket(fileno=self.came.popleft())
+            done = self.handover.take_waiting(said["waits"], sock)
+            self.put({"adopted" if done else "refused": int(said["ask"])})
         elif "adopted" in said:
             self.given.pop(int(said["adopted"]))[1].close()
         elif "refused" in said:
@@ -163,6 +173,9 @@
 
     def take_back(self, number: int) -> None:
         moved, sock = self.given.pop(number)
+        if isinstance(moved, Waits):
+            self.handover.take_waiting(asdict(moved), sock)
+            return
         self.handover.stay.add(moved.wire_id)
         self.handover.take(asdict(moved), sock)
 
@@ -202,6 +215,29 @@
         self.handover.ended(self)
 
 
+class LedgerSide(Protocol):
+    """The ledger of durable jobs, as it changes hands."""
+
+    def offered(self) -> None:
+        """Its owner has given it up to us, or has gone."""
+        ...
+
+    def give(self) -> list[tuple[Waits, EdgeConnection]] | None:
+        """Give it up; None: not now."""
+        ...
+
+    def wait_for(self, flow: Flow, edge: EdgeConnection) -> None: ...
+
+    def keep_early(self, news: dict[str, Any], reply: Reply) -> bool:
+        """Whether this call-back waits until its jobs have been taken up."""
+        ...
+
+    @property
+    def given_up(self) -> bool:
+        """Whether we had it, and the process beside us has it or is about to."""
+        ...
+
+
 class Handover:
     """Knows the process that came before us and the one that comes after."""
 
@@ -218,6 +254,8 @@
         self.newer: Link | None = None
         self.strangers: list[Link] = []
         self.asks = 0
+        self.ledger: LedgerSide | None = None  # where durable jobs are kept
+        self.unsent: list[tuple[Waits, EdgeConnection]] = []  # whose sockets had no room on the link yet
         self.listener: Listener | None = None
         self.published: Identity | None = None  # the file of our own socket
         self.looks_left = LOOKS
@@ -297,6 +335,10 @@
                 self.find_again()  # it was ending, and never spoke to us
         elif link is self.newer:
             self.newer = None
+            unsent, self.unsent = self.unsent, []
+            for waits, edge in unsent:
+                if self.ledger is not None and not edge.conn.closed:
+                    self.ledger.wait_for(asked_by(self.core, waits), edge)
             # Whether it still answers there says nothing: one that ends may close its listener last. What
             # counts is whose file stands there. A third process's stays, for that one has the clients.
             if link.serving and (link.published is None or _identity(self.path) in (None, link.published)):
@@ -325,6 +367,40 @@
                 self.take(asdict(moved), sock)  # there is no room on the link: next time
                 return
             self.newer.given[self.asks] = (moved, sock)
+        self.give_ledger()
+
+    def give_ledger(self) -> None:
+        """Hand it over once its jobs can go on there; then their clients, as the link has room."""
+        assert self.newer is not None
+        if self.ledger is not None and not self.ledger.given_up:
+            waiting = self.ledger.give()
+            if waiting is None:
+                return
+            self.newer.put({"ledger": True})
+            self.unsent += waiting
+        while self.unsent:
+            waits, edge = self.unsent[0]
+            if edge.conn.closed:
+                self.unsent.pop(0)
+                continue
+            self.asks += 1
+            if not self.newer.put_socket({"waits": asdict(waits), "ask": self.asks}, edge.conn.sock):
+                return  # next time
+            edge.hold(None)
+            self.newer.given[self.asks] = (waits, edge.conn.detach())
+            self.unsent.pop(0)
+
+    def take_waiting(self, said: dict[str, Any], sock: socket.socket) -> bool:
+        """Take in a client of a durable job from the other, or our own again."""
+        edge = self.edge.adopt(sock)
+        try:
+            if self.ledger is None:
+                raise ValueError("no durable jobs here")
+            self.ledger.wait_for(asked_by(self.core, Waits(**said)), edge)
+        except (ValueError, TypeError, AttributeError):
+            edge.conn.close()
+            return False
+        return True
 
     def take(self, said: dict[str, Any], sock: socket.socket) -> bool:
         """Take in a job that the other hands us, or our own again."""
@@ -346,6 +422,10 @@
     def news_heard(self, link: Link, news: dict[str, Any], reply: Reply) -> None:
         """The other passes a call-back on to us: if it is not ours, to whoever is beyond us."""
         beyond = self.newer if link.older else self.older
+        if self.ledger is not None and self.ledger.keep_early(news, reply):
+            return
+        if not link.older and self.ledger is not None and self.ledger.given_up and not self.taken(news):
+            return  # it may be of the ledger that is on its way there: its worker is to say it again
         if self.taken(news) or beyond is None or not beyond.greeted:
             reply(204)
         else:
--- a/eiderpin/net/workers.py
+++ b/eiderpin/net/workers.py
@@ -286,8 +286,7 @@
         """Take one call-back and reply with a status. Repeated and late ones are answered as well."""
         try:
             said: Any = orjson.loads(body)
-            if self.early is not None and len(self.early) < MOST_EARLY:
-                self.early.append((said, reply))
+            if self.keep_early(said, reply):
                 return
             known = self.take_news(said)
         except ValueError:
@@ -295,6 +294,13 @@
             return
         self.count_news(said, known, reply)
 
+    def keep_early(self, said: Any, reply: Callable[[int], None]) -> bool:
+        """Whether it waits for a ledger's recovery."""
+        if self.early is None or len(self.early) >= MOST_EARLY:
+            return False
+        self.early.append((said, reply))
+        return True
+
     def take_early(self) -> None:
         """The ledger has been recovered: what workers told meanwhile is taken now."""
         early, self.early = self.early or [], None
--- /dev/null
+++ b/eiderpin/ownership.py
@@ -0,0 +1,190 @@
+"""Who owns the ledger of durable jobs: it is taken at a start, or once a predecessor gives it up; and given
+up to a successor with all that is under way, whose leases and clients go on there."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from typing import Any
+
+from eiderpin.core.dispatcher import Dispatcher
+from eiderpin.core.durability import OtherJob
+from eiderpin.core.flows import FAILED, Flow
+from eiderpin.core.moves import Waits, let_durable_go
+from eiderpin.durable.files import Locked
+from eiderpin.durable.frames import BadFormat
+from eiderpin.durable.reading import Damaged
+from eiderpin.jobs.elsewhere import Elsewhere
+from eiderpin.jobs.keeper import JobKeeper
+from eiderpin.jobs.ledger import BrokenRule
+from eiderpin.jobs.options import Options
+from eiderpin.jobs.recovery import recover
+from eiderpin.net.edge import EdgeConnection
+from eiderpin.net.loop import READ, Loop
+from eiderpin.net.workers import HttpWorkers
+
+UNREADABLE = (Locked, BadFormat, Damaged, BrokenRule, OSError)
+ASK_EVERY = 100.0  # ms between looks whether our predecessor has given the ledger up ...
+ASK_AFTER_FAILURE = 5000.0  # ... and when it could not be read
+LIST_WITHIN = 3000.0  # ms in which the list must come before a ledger's jobs are taken up without it
+
+
+class Ownership:
+    """`shared`: an old or a new process may be beside us, and own it. Raises one of `UNREADABLE` where it
+    cannot be had."""
+
+    def __init__(
+        self, loop: Loop, core: Dispatcher, workers: HttpWorkers, options: Options, name: str, shared: bool,
+        say: Callable[[str], None], warn: Callable[[str], None],
+    ) -> None:  # fmt: skip
+        self.loop, self.core, self.workers = loop, core, workers
+        self.options, self.name, self.shared = options, name, shared
+        self.say, self.warn = say, warn
+        self.keeper: JobKeeper | None = None
+        self.ask_at = math.inf  # when we ask for it again
+        self.begun_at = loop.clock.now()
+        self.given_up = False  # it is the successor's, or about to be
+        self.waiting: list[tuple[Flow, EdgeConnection]] = []  # its last owner's clients, until it is ready
+        self.open()
+
+    # -- taking it
+
+    def open(self) -> None:
+        """Own the ledger and read it; one that the process beside us may own is asked for again later."""
+        try:
+            keeper = JobKeeper(self.core, self.options, self.name)
+        except UNREADABLE as error:
+            if not isinstance(error, Locked) or not self.shared:
+                raise
+            if self.core.keeper is None:
+                self.core.keeper = Elsewhere(self.options)
+            self.ask_at = self.loop.clock.now() + ASK_EVERY
+            return
+        self.core.keeper = self.keeper = keeper
+        self.ask_at = math.inf
+        self.loop.selector.register(keeper.log, READ, lambda mask: keeper.settle())
+        self.keep_news()
+
+    def keep_news(self) -> None:
+        """From here on call-backs wait until the ledger's jobs have been taken up."""
+        if self.workers.early is None:
+            self.workers.early = []
+
+    def keep_early(self, news: dict[str, Any], reply: Callable[[int], None]) -> bool:
+        return self.workers.keep_early(news, reply)
+
+    def offered(self) -> None:
+        """Its owner has given it up to us, or has gone."""
+        self.given_up = False
+        if self.keeper is None:
+            self.keep_news()
+            self.ask_at = self.loop.clock.now()
+
+    def turn(self) -> bool:
+        """Once a turn of the loop; whether nothing is left to be done about it."""
+        if self.loop.clock.now() >= self.ask_at:
+            self._ask()
+        if self.keeper is not None and not self.keeper.recovered:
+            self._recover()
+            return False
+        return math.isinf(self.ask_at)
+
+    def _ask(self) -> None:
+        self.ask_at = self.loop.clock.now() + ASK_EVERY
+        try:
+            self.open()
+        except UNREADABLE as error:
+            self.warn(f"durable jobs are turned down: durable.directory {self.options.folder}: {error}")
+            self.ask_at = self.loop.clock.now() + ASK_AFTER_FAILURE
+            return
+        if self.keeper is not None:
+            self.say("the ledger of durable jobs is ours")
+
+    def _recover(self) -> None:
+        """Take the ledger's open jobs up, once the workers are known or have been waited for long enough."""
+        keeper, now = self.keeper, self.loop.clock.now()
+        if keeper is None or not (self.core.listed or now > self.begun_at + LIST_WITHIN):
+            return
+        done = recover(keeper, self.core, self.workers)
+        if any(done.values()):
+            self.say("recovered jobs: " + ", ".join(f"{n} {step.value}" for step, n in done.items()))
+        self.workers.take_early()
+        waiting, self.waiting = self.waiting, []
+        for flow, edge in waiting:
+            self._join(flow, edge)
+
+    # -- clients that come with it
+
+    def wait_for(self, flow: Flow, edge: EdgeConnection) -> None:
+        """A client of its last owner waits for this job here from now on."""
+        edge.hold(flow)
+        edge.front.may_hold(edge)
+        if self.keeper is not None and self.keeper.recovered:
+            self._join(flow, edge)
+        else:
+            self.waiting.append((flow, edge))
+            self.core.deadlines.set(flow.deadline, lambda: self._overdue(flow, edge))
+
+    def _overdue(self, flow: Flow, edge: EdgeConnection) -> None:
+        if (flow, edge) in self.waiting:
+            self.waiting.remove((flow, edge))
+            edge.answer(flow, FAILED)
+
+    def _join(self, flow: Flow, edge: EdgeConnection) -> None:
+        """By its name, as one who asks again."""
+        if flow.ended:
+            return  # it has left
+        edge.hold(None)
+        try:
+            joined = self.core.submit(flow, edge)
+        except OtherJob:  # its own has been forgotten, and another has the name
+            edge.answer(flow, FAILED)
+            return
+        if not joined.ended:
+            edge.hold(joined)
+            edge.front.may_hold(edge)
+
+    # -- giving it up
+
+    def give(self) -> list[tuple[Waits, EdgeConnection]] | None:
+        """Give it up, where all its jobs can go on without this process: their workers have taken them and
+        will tell whoever has the address, their clients' connections can go, and nothing is on its way to the
+        disk. Returns those who wait for its jobs, for the next owner; None where it has to stay for now."""
+        self.core.decide()  # what has come in for them must not be lost
+        keeper = self.keeper
+        if keeper is None or not keeper.recovered or keeper.failed or not keeper.quiet():
+            return None
+        flows = [f for f in self.core.flows.all() if f.job and not f.ended]
+        out = [s for f in flows for s in f.schedulings if not s.ended]
+        clients = [(f, w) for f in flows for w in f.waiters]
+        if not all(s.entry.link.may_move(s) for s in out):
+            return None
+        if not all(isinstance(w, EdgeConnection) and w.can_go(f) for f, w in clients):
+            return None
+        waiting = []
+        for flow in flows:
+            for waits, waiter in let_durable_go(self.core, flow):
+                assert isinstance(waiter, EdgeConnection)
+                waiting.append((waits, waiter))
+        self.loop.selector.unregister(keeper.log)
+        keeper.close()
+        self.keeper, self.core.keeper, self.given_up = None, Elsewhere(self.options), True
+        return waiting
+
+    # -- the end
+
+    @property
+    def ready(self) -> bool:
+        """Whether jobs that it holds have been taken up, where it is ours."""
+        return self.keeper is None or self.keeper.recovered
+
+    def quiet(self) -> bool:
+        return not self.waiting and (self.keeper is None or self.keeper.quiet())
+
+    def push(self) -> None:
+        if self.keeper is not None:
+            self.keeper.log.push()
+
+    def close(self) -> None:
+        if self.keeper is not None:
+            self.keeper.close()
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import math
 import os
 import signal
 import socket
@@ -24,23 +23,20 @@
 from eiderpin.net.edge import Away, Edge
 from eiderpin.net.gearman_front import GearmanFront
 from eiderpin.net.handover import Handover
-from eiderpin.net.loop import READ, Loop
+from eiderpin.net.loop import Loop
 from eiderpin.net.management import MOST_CALLERS, Management
 from eiderpin.net.workers import HttpWorkers
 
 if TYPE_CHECKING:
-    from eiderpin.jobs.keeper import JobKeeper
     from eiderpin.jobs.options import Options
     from eiderpin.net.static_list import StaticList
+    from eiderpin.ownership import Ownership
 
 LINGER = 600.0  # ms after SIGTERM in which new connections may still come
 SETTLE = 400.0  # ms after a drain in which the front may still send new clients: idle ones are not yet closed
 HALVES = 3000.0  # ms after SIGTERM for which requests that are half sent are waited for
 LATEST_BEGIN = 3000.0  # ms in which a new process takes the clients, whatever it has not heard by then
 OWN_END = 1000.0  # ms after SIGTERM in which jobs may end here; then a successor has them
-LEDGER_EVERY = 100.0  # ms between looks whether our predecessor has given the ledger up ...
-LEDGER_FAILED = 5000.0  # ... and when it could not be read
-LIST_WITHIN = 3000.0  # ms in which the list must come before a ledger's jobs are taken up without it
 FEW_MORE = 6  # connections to workers that a process may add once its successor has the clients
 HELD_SHARE = 0.125  # of the memory, for requests that wait or have not come whole
 
@@ -68,11 +64,8 @@
             where = socket.socket(fileno=config.inherited)
         self.core.keeps_results = config.gearman is not None
         self.workers = HttpWorkers(self.loop, self.core, "service.internal", workers)
-        self.keeper: JobKeeper | None = None
-        self.ledger_at = math.inf  # when we ask again for a ledger that our predecessor owns
         self.begun_at = self.clock.now()
-        if config.durable is not None:
-            self.open_ledger(config.durable)
+        self.ledger = self.own_ledger(config.durable) if config.durable is not None else None
         self.gearman: GearmanFront | None = None
         self.agent_check: AgentCheck | None = None
         self.management: Management | None = None
@@ -116,62 +109,24 @@
                 self.loop, self.core, self.edge, path, self.workers.take_news, self.state, self.changed,
                 self.gives,
             )  # fmt: skip
+            self.handover.ledger = self.ledger
             self.workers.not_ours = self.handover.pass_on
 
-    # -- durable jobs
-
-    def open_ledger(self, options: Options) -> None:
-        """Own the ledger and read it; one that a predecessor beside us may own is asked for again later.
-        Raises `ConfigError` where it cannot be had."""
+    def own_ledger(self, options: Options) -> Ownership:
+        """Raises `ConfigError` where the ledger of durable jobs cannot be had."""
         try:
-            from eiderpin.durable.files import Locked
-            from eiderpin.durable.frames import BadFormat
-            from eiderpin.durable.reading import Damaged
-            from eiderpin.jobs.elsewhere import Elsewhere
-            from eiderpin.jobs.keeper import JobKeeper
-            from eiderpin.jobs.ledger import BrokenRule
+            from eiderpin import ownership
         except ModuleNotFoundError as error:
             text = f"durable: {error.name} is not installed: pip install 'eiderpin[durable]'"
             raise ConfigError(text) from None
+        shared = self.config.inherited is not None
         try:
-            keeper = JobKeeper(self.core, options, self.config.name)
-        except (Locked, BadFormat, Damaged, BrokenRule, OSError) as error:
-            if not isinstance(error, Locked) or self.config.inherited is None:
-                raise ConfigError(f"durable.directory {options.folder}: {error}") from None
-            if self.core.keeper is None:
-                self.core.keeper = Elsewhere(options)
-            self.ledger_at = self.clock.now() + LEDGER_EVERY
-            return
-        self.core.keeper = self.keeper = keeper
-        self.ledger_at = math.inf
-        self.loop.selector.register(keeper.log, READ, lambda mask: keeper.settle())
-        self.workers.early = []
-
-    def ask_for_ledger(self) -> None:
-        """Our predecessor gives it up when it ends."""
-        assert self.config.durable is not None
-        self.ledger_at = self.clock.now() + LEDGER_EVERY
-        try:
-            self.open_ledger(self.config.durable)
-        except ConfigError as error:
-            logs.event(f"durable jobs are turned down: {error}", logging.ERROR)
-            self.ledger_at = self.clock.now() + LEDGER_FAILED
-            return
-        if self.keeper is not None:
-            self.say("the ledger of durable jobs is ours")
-            self.recover_jobs()
-
-    def recover_jobs(self) -> None:
-        """Take the ledger's open jobs up, once the workers are known or have been waited for long enough."""
-        from eiderpin.jobs.recovery import recover
-
-        keeper, now = self.keeper, self.clock.now()
-        if keeper is None or not (self.core.listed or now > self.begun_at + LIST_WITHIN):
-            return
-        done = recover(keeper, self.core, self.workers)
-        if any(done.values()):
-            self.say("recovered jobs: " + ", ".join(f"{n} {step.value}" for step, n in done.items()))
-        self.workers.take_early()
+            return ownership.Ownership(
+                self.loop, self.core, self.workers, options, self.config.name, shared, self.say,
+                lambda text: logs.event(text, logging.ERROR),
+            )  # fmt: skip
+        except ownership.UNREADABLE as error:
+            raise ConfigError(f"durable.directory {options.folder}: {error}") from None
 
     # -- an old and a new process side by side
 
@@ -204,6 +159,8 @@
         if self.handed_at is not None and not self.handed_over:
             self.handed_at = None
             self.say("the newer process has gone: taking clients again")
+            if self.ledger is not None and self.ledger.given_up:
+                self.ledger.offered()
         elif self.handed_at is None and self.handed_over:
             self.handed_at = self.clock.now()
             self.say(f"a newer process takes the clients; {self.core.outstanding} jobs are under way here")
@@ -252,7 +209,7 @@
             return self.handover.newer.readiness
         if self.drained or self.stopping_since is not None:
             return "drain"
-        if self.keeper is not None and not self.keeper.recovered:
+        if self.ledger is not None and not self.ledger.ready:
             return "down"
         if not self.serving or not any(e.in_service for e in self.core.entries.values()):
             return "down"
@@ -328,7 +285,7 @@
             self.say(f"reloaded; a restart is needed for: {', '.join(stay)}")
 
     def over(self) -> bool:
-        if not self.may_end() or (self.keeper is not None and not self.keeper.quiet()):
+        if not self.may_end() or (self.ledger is not None and not self.ledger.quiet()):
             return False
         # A job that is half sent is worth the wait, but those who begin one and stay must not keep us.
         halves = self.stopping_since is not None and self.clock.now() < self.stopping_since + HALVES
@@ -357,18 +314,14 @@
         if not self.serving and self.stopping_since is None and self.may_begin():
             self.begin()
         rests = self.serving and self.stopping_since is None and self.handed_at is None
-        rests = rests and math.isinf(self.ledger_at)
-        if self.clock.now() >= self.ledger_at:
-            self.ask_for_ledger()
-        if self.keeper is not None and not self.keeper.recovered:
-            self.recover_jobs()
-            rests = False
+        if self.ledger is not None:
+            rests = self.ledger.turn() and rests
         self.loop.once(self.after_turn, 1000.0 if rests else 20.0)
 
     def after_turn(self) -> None:
         self.core.decide()
-        if self.keeper is not None:
-            self.keeper.log.push()
+        if self.ledger is not None:
+            self.ledger.push()
 
     def run(self) -> None:
         """Serve until stopped; SIGTERM and SIGINT stop it, SIGHUP has the configuration read again, SIGUSR1
@@ -377,8 +330,8 @@
         logs.event("listens", logging.INFO, **self.addresses())
         while not self.over():
             self.turn()
-        if self.keeper is not None:
-            self.keeper.close()
+        if self.ledger is not None:
+            self.ledger.close()
         for number in SIGNALS:
             signal.signal(number, signal.SIG_IGN)  # one more must not make a planned end a killed one
         self.say("ends, all is answered")
--- a/tests/test_crash.py
+++ b/tests/test_crash.py
@@ -354,31 +354,57 @@
             self.assertEqual(post(second, "a1")[0], 500)  # it may have run
             self.assertEqual(it.ran, {"a1": 1})
 
-    def test_the_ledger_changes_hands_in_an_upgrade(self) -> None:
+    def test_the_ledger_changes_hands_in_an_upgrade_with_its_leases_and_clients(self) -> None:
         with side() as it, tempfile.TemporaryDirectory() as folder:
             durable = {"directory": folder, "classes": ["result-post"]}
             old = it.serving(durable=durable)
             self.assertEqual(post(old, "q1"), (200, b"h1 ran q1"))
             asked: list[tuple[int, bytes]] = []
-            thread = threading.Thread(target=lambda: asked.append(post(old, "s1")))
-            thread.start()
+            threads = [threading.Thread(target=lambda: asked.append(post(old, "s1"))) for _ in range(2)]
+            for thread in threads:
+                thread.start()
             wait_for(lambda: it.held.worker.ran["s1"], "the job to be out")
             new = it.serving(durable=durable)
             said(old, TOOK)
-            old.process.send_signal(signal.SIGTERM)
-            # The old one has the ledger until its job has ended; here such jobs are turned down meanwhile.
+            # The old one has the ledger until it is to end; here such jobs are turned down meanwhile.
             self.assertEqual(post(new, "q2")[0], 503)
             self.assertEqual(http_call(new.edge, "POST", "/time-lookup", Req_Id="q3")[0], 200)
+            old.process.send_signal(signal.SIGTERM)
+            said(new, "recovered jobs: 0 place, 1 wait, 0 late")
+            self.assertEqual(old.process.wait(20), 0)  # with its job still out, and its clients waiting
+            self.assertEqual(asked, [])
+            self.assertEqual(post(new, "q2"), (200, b"h1 ran q2"))
             it.held.go.set()
-            thread.join(20)
-            self.assertEqual(asked, [(200, b"ran s1")])
-            self.assertEqual(old.process.wait(20), 0)
-            said(new, "the ledger of durable jobs is ours")
+            for thread in threads:
+                thread.join(20)
+            self.assertEqual(asked, [(200, b"ran s1")] * 2)
             self.assertEqual(post(new, "s1"), (200, b"ran s1"))
             self.assertEqual(post(new, "q1"), (200, b"h1 ran q1"))
-            wait_for(lambda: post(new, "q2") == (200, b"h1 ran q2"), "the job that was turned down")
             self.assertEqual(max(it.held.worker.ran.values()), 1)
 
+    def test_an_old_process_takes_the_ledger_back_from_a_new_one_that_dies(self) -> None:
+        with side() as it, tempfile.TemporaryDirectory() as folder:
+            durable = {"directory": folder, "classes": ["result-post"]}
+            old = it.serving(durable=durable, fronts=("gearman",))
+            peer = GearmanPeer(old.at["gearman"])
+            peer.put(Kind.SUBMIT_JOB, b"time-lookup", b"l1", b"x")  # keeps the old one up: it cannot move
+            peer.until(Kind.JOB_CREATED)
+            client = post_behind(old, "s1")
+            wait_for(lambda: it.held.worker.ran["s1"] and it.held.worker.ran["l1"], "the jobs to be out")
+            new = it.serving(durable=durable)
+            said(old, TOOK)
+            old.process.send_signal(signal.SIGTERM)
+            said(new, "recovered jobs: 0 place, 1 wait, 0 late")
+            new.process.kill()
+            client.join(20)  # its connection had gone over
+            said(old, "recovered jobs: 0 place, 1 wait, 0 late")
+            it.held.go.set()
+            self.assertEqual(post(old, "s1"), (200, b"ran s1"))
+            self.assertEqual(peer.until(Kind.WORK_COMPLETE).args[1], b"ran l1")
+            peer.close()
+            self.assertEqual(old.process.wait(20), 0)
+            self.assertEqual(it.held.worker.ran["s1"], 1)
+
     def test_an_old_process_that_is_killed_leaves_its_leases_to_the_new_one(self) -> None:
         with side() as it, tempfile.TemporaryDirectory() as folder:
             durable = {"directory": folder, "classes": ["result-post"]}
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -197,7 +197,7 @@
 FIELDS = ("up", "crashes", "disk", "tail", "sent", "wire", "ran", "reports", "asking", "told")
 
 
-def protocol(lease_first: bool) -> Protocol:
+def protocol(lease_first: bool, crashes: int = 3) -> Protocol:
     """One single-shot job and two attempts, through crashes at every place. The rules are the real ledger's.
 
     `disk`, `tail`: records that are on disk, and written since. `sent`: what this process leased and sent.
@@ -281,7 +281,7 @@
 
     return Protocol(
         name="durable job", candidate=False, fields=FIELDS,
-        initial=(True, 2, (), (), frozenset(), frozenset(), 0, frozenset(), False, ()),
+        initial=(True, crashes, (), (), frozenset(), frozenset(), 0, frozenset(), False, ()),
         transitions=transitions,
         invariants={
             "runs at most once": lambda d: d["ran"] <= 1,
