--- /dev/null
+++ b/eiderpin/store/member.py
@@ -0,0 +1,373 @@
+"""One member of the store: its Raft, its state, and the order in which disk, wire and clients hear of things.
+It reaches disk and peers through two small protocols; time is given to it."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import msgspec
+import zstandard
+
+from eiderpin.durable.frames import Record
+from eiderpin.store import records
+from eiderpin.store.messages import Config, Entry, EntryKind, Hard, Message, Snapshot
+from eiderpin.store.raft import NotLeader, Raft, Refused, Role
+from eiderpin.store.records import Born, Restored
+from eiderpin.store.state import Answer, Command, Compacted, Event, Expire, Operation, Store, pack, unpack
+
+TICK = 50.0  # ms
+SNAPSHOT_EVERY = 10_000  # entries applied since the last snapshot ...
+SNAPSHOT_BYTES = 16 << 20  # ... or so many bytes of them, after which the next is made
+TRAILING = 1_000  # entries kept before a snapshot, for members that are a little behind
+MOST_WAITING = 10_000  # commands and reads that wait here
+MOST_WATCHERS = 1_000
+MARK_EVERY = 200.0  # ms between a leader's words on the store's time, while leases are out
+MOST_TICKS = 4  # caught up with at once: a process that stood still must not campaign for it
+
+
+class Disk(Protocol):
+    """A log on disk. `told` is called later, in order, with whether it is there."""
+
+    def append(self, said: list[Record], told: Callable[[bool], None]) -> None: ...
+
+    def checkpoint(self, all_of_it: Iterable[Record]) -> None:
+        """What stands for all that was appended so far; what is appended later comes after it."""
+        ...
+
+
+class Unavailable(Exception):
+    """No answer is known: it may or may not have been carried out. Ask again, with the same number."""
+
+
+Done = Callable[[Answer | Exception], None]
+
+
+@dataclass(slots=True)
+class Watch:
+    """Told of events with names that begin so, from revision `next` on; `tell` gets None where it has to
+    begin anew, for what it asks of has been forgotten."""
+
+    prefix: str
+    next: int
+    tell: Callable[[list[Event] | None], None]
+
+
+@dataclass(slots=True)
+class _Batch:
+    after: list[Message]
+    on_disk: bool
+    last: tuple[int, int] | None = None  # index and term of the last entry in it
+
+
+@dataclass(slots=True)
+class _Read:
+    done: Callable[[Exception | None], None]
+    until: float
+    index: int | None = None
+
+
+@dataclass(slots=True)
+class _Waiting:
+    done: Done
+    until: float
+    more: list[Done] = field(default_factory=list)
+
+
+class Member:
+    """`send` gives a message to the wire, which may lose it. `now` is monotonic, in ms."""
+
+    def __init__(
+        self, born: Born, restored: Restored, disk: Disk, send: Callable[[Message], None], rng: random.Random,
+        now: float, raft: type[Raft] = Raft, snapshot_every: int = SNAPSHOT_EVERY, trailing: int = TRAILING,
+        history: int = 10_000,
+    ) -> None:  # fmt: skip
+        self.born, self.disk, self.send, self.rng = born, disk, send, rng
+        self.snapshot_every, self.trailing, self.history = snapshot_every, trailing, history
+        snapshot = restored.snapshot
+        self.raft = raft(born.name, restored.hard, snapshot, restored.entries, rng)
+        self.store = Store.of(_plain(snapshot.data), history)
+        self.applied = snapshot.index
+        self.failed = False  # our disk takes nothing
+        self.bytes = 0  # applied since the last snapshot
+        self.watches: list[Watch] = []
+        self.on_config: Callable[[Config], None] = lambda config: None
+        self._config: Config | None = None
+        self._batches: deque[_Batch] = deque()
+        self._commands: dict[tuple[str, int], _Waiting] = {}
+        self._reads: dict[int, _Read] = {}
+        self._ready: list[tuple[int, int]] = []
+        self._context = rng.getrandbits(40)
+        self._ticked, self._marked = now, now
+        self._leases_out = False
+        self.heard_at = now  # of a leader, last
+        self._flushing = False
+        self.flush(now)
+
+    # -- the start of a cluster
+
+    @staticmethod
+    def first(born: Born, voters: dict[str, str]) -> Restored:
+        """What every first member of a new cluster begins with."""
+        return Restored(born, Hard(), [Entry(1, 0, int(EntryKind.CONFIG), Config(voters).pack())])
+
+    def write_all(self) -> None:
+        """Have the disk hold all that we hold; a new member's first words."""
+        log = self.raft.log
+        hard = Hard(self.raft.term, self.raft.vote)
+        entries = [e for e in log.entries if e.index > log.snapshot.index]
+        self.disk.checkpoint(records.whole(self.born, hard, log.snapshot, entries))
+
+    # -- time and messages
+
+    def tick(self, now: float) -> None:
+        """To be called every `TICK` or so."""
+        ticks = int((now - self._ticked) / TICK)
+        self._ticked = now if ticks > MOST_TICKS else self._ticked + ticks * TICK
+        if not self.failed:
+            for _ in range(min(ticks, MOST_TICKS)):
+                self.raft.tick()
+            self._mark(now)
+        if self.raft.leader:
+            self.heard_at = now
+        self._give_up(now)
+        self.flush(now)
+
+    def hear(self, message: Message, now: float) -> None:
+        if not self.failed:  # else we could keep nothing of it
+            self.raft.step(message)
+            self.flush(now)
+
+    def _mark(self, now: float) -> None:
+        """A leader says how much time has passed, while that matters to a lease."""
+        out = bool(self.store.leases)
+        if not out or not self._leases_out or self.raft.role is not Role.LEADER:
+            self._marked = now
+        elif now >= self._marked + MARK_EVERY:
+            passed, self._marked = now - self._marked, now
+            at = self.store.now + passed
+            self._propose(Command("", self.rng.getrandbits(53), Expire(at)))
+        self._leases_out = out and self.raft.role is Role.LEADER
+
+    def _propose(self, command: Command) -> bool:
+        try:
+            self.raft.propose([pack(command)])
+        except (NotLeader, Refused):
+            return False
+        return True
+
+    # -- clients
+
+    def submit(self, client: str, number: int, op: Operation, done: Done, now: float, within: float) -> None:
+        """Have a command committed; `done` gets its answer, or why there is none (`NotLeader`, `Refused`: it
+        was not taken; `Unavailable`: nobody knows)."""
+        key = (client, number)
+        known = self._commands.get(key)
+        if known is not None:
+            known.more.append(done)
+            return
+        if self.failed or len(self._commands) >= MOST_WAITING:
+            done(Refused("the disk of this member fails" if self.failed else "too many commands wait"))
+            return
+        try:
+            self.raft.propose([pack(Command(client, number, op))])
+        except (NotLeader, Refused) as error:
+            done(error)
+            return
+        self._commands[key] = _Waiting(done, now + within)
+        self.flush(now)
+
+    def read(self, done: Callable[[Exception | None], None], now: float, within: float) -> None:
+        """Call `done` once what is here covers all that was committed before this call (or with why not)."""
+        if self.failed or len(self._reads) >= MOST_WAITING:
+            done(Refused("the disk of this member fails" if self.failed else "too many reads wait"))
+            return
+        self._context += 1
+        self._reads[self._context] = _Read(done, now + within)
+        try:
+            self.raft.read(self._context)
+        except (NotLeader, Refused) as error:
+            del self._reads[self._context]
+            done(error)
+            return
+        self.flush(now)
+
+    def watch(self, prefix: str, after: int, tell: Callable[[list[Event] | None], None]) -> Watch:
+        """Tell of what changes after revision `after`: at once what has, then what will. A watch that is
+        taken up again at another member with the last revision it was told of neither misses nor repeats.
+        Raises `Compacted` and `Refused`."""
+        if len(self.watches) >= MOST_WATCHERS:
+            raise Refused(f"{MOST_WATCHERS} watch already")
+        watch = Watch(prefix, after + 1, tell)
+        if after + 1 < self.store.oldest:
+            raise Compacted(self.store.oldest)
+        self.watches.append(watch)
+        self._tell(watch)
+        return watch
+
+    def unwatch(self, watch: Watch) -> None:
+        if watch in self.watches:
+            self.watches.remove(watch)
+
+    def _tell(self, watch: Watch) -> None:
+        if self.store.revision < watch.next:
+            return
+        try:
+            events = self.store.since(watch.next, watch.prefix)
+        except Compacted:
+            self.unwatch(watch)
+            watch.tell(None)
+            return
+        watch.next = self.store.revision + 1
+        if events:
+            watch.tell(events)
+
+    def _give_up(self, now: float) -> None:
+        """On those who have waited for long enough."""
+        for key in [k for k, w in self._commands.items() if w.until <= now]:
+            waiting = self._commands.pop(key)
+            for done in (waiting.done, *waiting.more):
+                done(Unavailable("no word of it in time"))
+        for context in [c for c, r in self._reads.items() if r.until <= now]:
+            self._reads.pop(context).done(Unavailable("no leader has confirmed the read in time"))
+
+    # -- what Raft says is to be done
+
+    def flush(self, now: float) -> None:
+        """To be called after whatever may have given Raft something to do."""
+        if self._flushing or self.failed:
+            return  # a call-back's: what it brought is seen to by the loop below
+        self._flushing = True
+        try:
+            self._flush()
+        finally:
+            self._flushing = False
+
+    def _flush(self) -> None:
+        while not self.failed:
+            out = self.raft.out()
+            if out.snapshot is not None:
+                self._install(out.snapshot)
+            if out.persists:
+                self._persist(out.snapshot, out.hard, out.entries, out.after)
+            elif out.after:
+                self._batches.append(_Batch(out.after, True))
+                self._release()
+            for message in out.now:
+                self.send(message)
+            for entry in out.committed:
+                self._apply(entry)
+            self._ready += out.reads
+            self._serve_reads()
+            if out.committed:
+                for watch in list(self.watches):
+                    self._tell(watch)
+                self._compact()
+            if self.raft.log.config is not self._config:
+                self._config = self.raft.log.config
+                self.on_config(self._config)
+            if not (out.persists or out.after or out.now or out.committed or out.reads):
+                return
+
+    def _persist(
+        self, snapshot: Snapshot | None, hard: Hard | None, entries: list[Entry], after: list[Message]
+    ) -> None:
+        if snapshot is not None:
+            self.write_all()
+        said = [records.pack(hard)] if hard is not None else []
+        said += [records.pack(e) for e in entries]
+        if not said:
+            said = [records.pack(Hard(self.raft.term, self.raft.vote))]
+        last = (entries[-1].index, entries[-1].term) if entries else None
+        batch = _Batch(after, False, last)
+        self._batches.append(batch)
+        self.disk.append(said, lambda ok: self._on_disk(batch, ok))
+
+    def _on_disk(self, batch: _Batch, ok: bool) -> None:
+        if not ok:
+            self.disk_failed()
+            return
+        if batch not in self._batches:
+            return  # of before a failure
+        batch.on_disk = True
+        if batch.last is not None:
+            self.raft.persisted(*batch.last)
+        self._release()
+
+    def _release(self) -> None:
+        while self._batches and self._batches[0].on_disk:
+            for message in self._batches.popleft().after:
+                self.send(message)
+
+    def disk_failed(self) -> None:
+        """What was not on disk has been told to nobody, and nothing more is until `disk_is_back`."""
+        if not self.failed:
+            self.failed = True
+            self._batches.clear()
+            self.raft.give_up()
+            # What was to be persisted or sent goes; what is committed and on disk is applied all the same.
+            for entry in self.raft.out().committed:
+                self._apply(entry)
+
+    def disk_is_back(self, now: float) -> None:
+        """All that we hold is on disk again."""
+        self.failed, self.raft.may_lead = False, True
+        self._ticked = now
+        self.raft.persisted(self.raft.log.last, self.raft.log.last_term)
+        self.flush(now)
+
+    def _install(self, snapshot: Snapshot) -> None:
+        """A leader's snapshot has replaced our log."""
+        self.store = Store.of(_plain(snapshot.data), self.history)
+        self.applied, self.bytes = snapshot.index, 0
+        for (client, number), waiting in list(self._commands.items()):
+            session = self.store.sessions.get(client)
+            if client and session is not None and session.number == number:
+                del self._commands[client, number]
+                for done in (waiting.done, *waiting.more):
+                    done(session.answer)
+
+    def _apply(self, entry: Entry) -> None:
+        self.applied = entry.index
+        self.bytes += len(entry.data)
+        if entry.kind != EntryKind.COMMAND:
+            return
+        try:
+            command = unpack(entry.data)
+        except msgspec.MsgspecError:
+            return  # alike on every member
+        answer = self.store.apply(command)
+        waiting = self._commands.pop((command.client, command.number), None)
+        if waiting is not None:
+            for done in (waiting.done, *waiting.more):
+                done(answer)
+
+    def _serve_reads(self) -> None:
+        later = []
+        for context, index in self._ready:
+            if index > self.applied:
+                later.append((context, index))
+                continue
+            read = self._reads.pop(context, None)
+            if read is not None:
+                read.done(None)
+        self._ready = later
+
+    def _compact(self) -> None:
+        done = self.applied - self.raft.log.snapshot.index
+        if done < self.snapshot_every and self.bytes < SNAPSHOT_BYTES:
+            return
+        term = self.raft.log.term(self.applied)
+        assert term is not None, "what was applied last is here"
+        self.bytes = 0
+        config = self.raft.log.config_as_of(self.applied)
+        data = zstandard.ZstdCompressor(level=3).compress(self.store.image())
+        self.raft.compact(Snapshot(self.applied, term, config, data), self.trailing)
+        self.write_all()
+
+
+def _plain(data: bytes) -> bytes:
+    return zstandard.ZstdDecompressor().decompress(data) if data else b""
