--- a/tests/store_sim.py
+++ b/tests/store_sim.py
@@ -345,15 +345,20 @@
         return self.world.nodes[self.rng.choice(live)].member if live else None
 
     def try_open(self) -> None:
+        told = False
+
         def done(answer: Answer | Exception) -> None:
-            self.opened = isinstance(answer, Answer)
-            self.next()
+            nonlocal told
+            if not told:
+                told, self.opened = True, isinstance(answer, Answer)
+                self.next()
 
         member = self.member()
         if member is None:
             self.next()
-        else:
-            member.submit(self.name, 0, Open(self.name), done, self.world.now, 500.0)
+            return
+        member.submit(self.name, 0, Open(self.name), done, self.world.now, 500.0)
+        self.world.after(600.0, lambda: done(Unavailable()))  # its member may have been killed
 
     def write(self, op: Op, number: int, change: Transaction, tries: int) -> None:
         told = False
--- a/tests/test_store_sim.py
+++ b/tests/test_store_sim.py
@@ -1,4 +1,4 @@
-"""The whole cluster under a seed. `python -m tests.test_store_sim FIRST COUNT [changes]` plays more by hand."""
+"""The whole cluster under a seed; `python -m tests.test_store_sim FIRST COUNT [changes]` plays more."""
 
 from __future__ import annotations
 
