Orders for workers that all dispatchers follow, and dispatchers that know of each other

Need: what lives in the store. A cordon had to be typed at each dispatcher's source of workers, and the share of cold workers' budget followed a number in a file.

Each dispatcher holds a lease as dispatchers/NAME; n_instances and slot_no follow those that are there; eiderpin dispatchers. The decisions follow slots that change in the list (they took the first figure for good).

The test of the cap fails without the change in decide.py.

--- a/eiderpin/cli/__init__.py
+++ b/eiderpin/cli/__init__.py
@@ -14,10 +14,12 @@
 # name: module and attribute
 COMMANDS = {
     "check": "eiderpin.cli.check:check",
+    "dispatchers": "eiderpin.cli.workers:dispatchers",
     "jobs": "eiderpin.cli.jobs:jobs",
     "run": "eiderpin.cli:run",
     "store": "eiderpin.cli.store:store",
     "try": "eiderpin.cli.try_it:try_it",
+    "workers": "eiderpin.cli.workers:workers",
 }
 
 
--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -6,7 +6,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import replace
-from typing import Any
+from typing import Any, Protocol
 
 from eiderpin import decide
 from eiderpin import interface as api
@@ -31,6 +31,14 @@
     """The id is another request's."""
 
 
+class WorkerOrders(Protocol):
+    """Operators' orders for workers, whatever the sources say of them."""
+
+    def on(self, entry: api.WorkerEntry) -> api.WorkerEntry:
+        """The worker as it is to be used."""
+        ...
+
+
 class Dispatcher:
     """Owns all flows and service entries; hands each batch of events to the decisions."""
 
@@ -54,6 +62,7 @@
         self._wire_number = 0
         self.ids_beside: set[str] = set()  # of jobs under way in the process beside us
         self.keeper: Keeper | None = None  # of durable jobs; None: there are none
+        self.orders: WorkerOrders | None = None  # of the operators; None: there are none
         self.outstanding = 0  # jobs taken and not ended
         self._events: list[api.Event] = []
         self._timers: dict[int, Deadline] = {}
@@ -192,10 +201,12 @@
         now = self.clock.now()
         listed: list[api.WorkerEntry] = []
         named = set()
-        for entry, address in entries:
+        for told, address in entries:
+            entry = self.orders.on(told) if self.orders is not None else told
             known = self.entries.get(entry.name)
             if known is None:
                 known = self.entries[entry.name] = ServiceEntry(entry, address, link)
+            known.told = told
             self._tell(known, entry, address, now)
             named.add(entry.name)
             listed.append(entry)
@@ -210,6 +221,27 @@
         self.listed = self.listed or kind is not api.ListKind.FAILED
         self._events.append(api.Membership(kind, listed))
 
+    def reorder(self, names: Iterable[str]) -> None:
+        """The operators' orders for these workers have changed."""
+        changed = []
+        for name in names:
+            known = self.entries.get(name)
+            if known is None or known.told is None or not known.listed_now or self.orders is None:
+                continue
+            entry = self.orders.on(known.told)
+            if entry != known.listed:
+                self._tell(known, entry, known.address, self.clock.now())
+                changed.append(entry)
+        if changed:
+            self._events.append(api.Membership(api.ListKind.CHANGES, changed))
+
+    def share(self, instances: int, instance: int) -> bool:
+        """So many dispatchers share the workers now, and we are this one of them; whether that is news."""
+        if (self.settings.instances, self.settings.instance) == (instances, instance):
+            return False
+        self.settings.instances, self.settings.instance = instances, instance
+        return True
+
     def _tell(self, known: ServiceEntry, entry: api.WorkerEntry, address: object, now: float) -> None:
         known.listed, known.address = entry, address
         if entry.state is api.WorkerState.IN_SERVICE:
--- a/eiderpin/core/schedulings.py
+++ b/eiderpin/core/schedulings.py
@@ -32,6 +32,7 @@
     address: Any  # means something to its link only
     link: WorkerLink
     left_at: float | None = None  # when we were told that it drains or is gone
+    told: WorkerEntry | None = None  # as its source lists it, before the operators' orders
 
     @property
     def name(self) -> str:
--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -458,6 +458,10 @@
         elif entry.classes != worker.classes:
             worker.classes = entry.classes
             self.place(worker)
+        if entry.slots != worker.known_slots:
+            before, worker.known_slots = self.slots(worker), entry.slots
+            if worker.state is WorkerState.IN_SERVICE:
+                self.slots_in_service += self.slots(worker) - before
         if entry.born and entry.born != worker.born:
             # A new process: what was learned of the old one is void, and it starts cold.
             worker.failures, worker.trial, worker.rest_until = 0, False, 0.0
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -14,7 +14,7 @@
 
 import orjson
 
-from eiderpin import logs
+from eiderpin import VERSION, logs
 from eiderpin.configuration import OWN, Config, ConfigError, load, read_config, shares
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Clock, Deadlines
@@ -88,8 +88,6 @@
                 calls = {"ready": self.ready, "show-stat": self.show_stat,
                          "drain": self.drain, "resume": self.resume}  # fmt: skip
                 self.management = Management(self.loop, self.counters, config.management, calls)
-            if config.store is not None:
-                self.store = self.keep_store(config.store)
         except OSError as error:
             raise ConfigError(f"cannot listen: {error}") from None
         self.listed: StaticList | None = None
@@ -117,6 +115,8 @@
             )  # fmt: skip
             self.handover.ledger = self.ledger
             self.workers.not_ours = self.handover.pass_on
+        if config.store is not None:
+            self.store = self.keep_store(config.store)
 
     def own_ledger(self, options: Options) -> Ownership:
         """Raises `ConfigError` where the ledger of durable jobs cannot be had."""
@@ -137,6 +137,7 @@
     def keep_store(self, options: StoreOptions) -> StoreHost:
         """Raises `ConfigError` where our member of the store cannot be had."""
         try:
+            from eiderpin.shared_state import SharedState
             from eiderpin.store import door, host
         except ModuleNotFoundError as error:
             text = f"store: {error.name} is not installed: pip install 'eiderpin[durable]'"
@@ -153,8 +154,20 @@
             raise ConfigError(str(error)) from None
         if self.management is not None:
             self.management.parts["store"] = door.StoreDoor(store)
+        self.shared_state = SharedState(
+            store, self.core, options.name, self.about, self.say,
+            lambda text: logs.event(text, logging.WARNING),
+        )  # fmt: skip
         return store
 
+    def about(self) -> dict[str, Any]:
+        """What other dispatchers and operators may know of us."""
+        readiness = self.readiness()
+        return {
+            **self.addresses(), "dispatcher": self.config.name, "state": readiness.split()[0],
+            "began": int(self.begun_at), "version": VERSION,
+        }  # fmt: skip
+
     # -- an old and a new process side by side
 
     def may_begin(self) -> bool:
@@ -247,6 +260,8 @@
         """The operators' `ready`: whether this process can serve; one that they drained still can."""
         state = self.readiness()
         can = self.stopping_since is None and state != "down"
+        if self.store is not None and self.store.cut_off:
+            state += ", cut off from the store"
         return f"ok {state}" if can else f"fail {state}"
 
     def show_stat(self) -> str:
--- /dev/null
+++ b/eiderpin/shared_state.py
@@ -0,0 +1,132 @@
+"""What a dispatcher does with the store: it follows the operators' orders for workers, says that it is there,
+and knows who else is."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+
+from eiderpin.core.dispatcher import Dispatcher
+from eiderpin.store import orders
+from eiderpin.store.host import StoreHost
+from eiderpin.store.raft import Refused
+from eiderpin.store.state import Answer, Compacted, Event, Grant, Keep, Operation, Put, Transaction
+
+PRESENT = "dispatchers/"
+LEASE = 5000.0  # ms after which a dispatcher that says nothing is no longer counted
+KEEP_EVERY = 1000.0
+WITHIN = 900.0
+
+
+class SharedState:
+    """`about` tells what others may know of us; a change of it is told within `KEEP_EVERY`."""
+
+    def __init__(
+        self, host: StoreHost, core: Dispatcher, name: str, about: Callable[[], dict[str, Any]],
+        say: Callable[[str], None], warn: Callable[[str], None],
+    ) -> None:  # fmt: skip
+        self.host, self.core, self.name, self.about, self.say, self.warn = host, core, name, about, say, warn
+        self.orders = orders.Orders()
+        core.orders = self.orders
+        self.others: set[str] = set()  # all that are there, we among them
+        self.lease = 0
+        self.told: dict[str, Any] = {}
+        self.busy = False  # a command of ours is on its way
+        self.follow(orders.PREFIX, self.ordered)
+        if host.options.listen is not None:
+            self.follow(PRESENT, self.met)
+        self.beat()
+
+    def follow(self, prefix: str, heard: Callable[[str, bytes | None], None]) -> None:
+        """Have `heard` called for each document there is and each change; begun anew where events were
+        forgotten."""
+        store = self.host.member.store
+        known = set()
+        for document in store.range(prefix, "", 1 << 30):
+            known.add(document.name)
+            heard(document.name.removeprefix(prefix), document.value)
+
+        def tell(events: list[Event] | None) -> None:
+            if events is None:
+                now = {d.name for d in self.host.member.store.range(prefix, "", 1 << 30)}
+                for name in known - now:
+                    heard(name.removeprefix(prefix), None)
+                self.follow(prefix, heard)
+                return
+            for event in events:
+                (known.discard if event.value is None else known.add)(event.name)
+                heard(event.name.removeprefix(prefix), event.value)
+
+        try:
+            self.host.member.watch(prefix, store.revision, tell)
+        except (Compacted, Refused) as error:
+            self.warn(f"store: {prefix} is not followed: {error}")
+
+    # -- orders for workers
+
+    def ordered(self, name: str, value: bytes | None) -> None:
+        order = None
+        if value is not None:
+            try:
+                order = orders.read(value)
+            except ValueError as error:
+                self.warn(f"store: {orders.PREFIX}{name} is not followed: {error}")
+                return  # as it was
+        if self.orders.take(name, order):
+            self.host.counters.add("store.orders")
+            self.say(f"store: order for worker {name}: {order if order is not None else 'taken back'}")
+            self.core.reorder([name])
+
+    # -- who is there
+
+    def met(self, name: str, value: bytes | None) -> None:
+        (self.others.add if value is not None else self.others.discard)(name)
+        if self.name in self.others:
+            ranked = sorted(self.others)
+            if self.core.share(len(ranked), ranked.index(self.name)):
+                self.say(f"store: {len(ranked)} dispatchers share the workers: {', '.join(ranked)}")
+
+    def beat(self) -> None:
+        """Hold our lease, and keep what is said of us true."""
+        self.core.deadlines.set(self.core.clock.now() + KEEP_EVERY, self.beat)
+        if self.busy or self.host.member.failed:
+            return
+        about = self.about()
+        if not self.lease:
+            self.submit(Grant(LEASE), self.granted)
+        elif about != self.told:
+            self.tell(about)
+        else:
+            self.submit(Keep(self.lease), self.kept)
+
+    def submit(self, op: Operation, done: Callable[[Answer], None]) -> None:
+        def answered(answer: Answer | Exception) -> None:
+            self.busy = False
+            if isinstance(answer, Answer):
+                done(answer)
+
+        self.busy = True
+        member = self.host.member
+        member.submit("", member.rng.getrandbits(53), op, answered, self.core.clock.now(), WITHIN)
+
+    def granted(self, answer: Answer) -> None:
+        if answer.lease:
+            self.lease = answer.lease
+            self.tell(self.about())
+
+    def tell(self, about: dict[str, Any]) -> None:
+        def done(answer: Answer) -> None:
+            if answer.error:
+                self.lease = 0  # it has ended while we were cut off
+            else:
+                self.told = about
+
+        put = Put(f"{PRESENT}{self.name}", orjson.dumps(about), self.lease)
+        self.submit(Transaction([put]), done)
+
+    def kept(self, answer: Answer) -> None:
+        if answer.error:
+            self.lease, self.told = 0, {}
+
--- a/eiderpin/store/member.py
+++ b/eiderpin/store/member.py
@@ -86,6 +86,7 @@
     name: str
     done: Callable[[Exception | None], None]
     until: float
+    begun: bool = False  # the leader has said yes
 
 
 @dataclass(slots=True)
@@ -164,6 +165,8 @@
             self.send(Ordered(self.born.name, message.frm, self.raft.term, message.context, error))
         elif isinstance(message, Ordered):
             order = self._orders.get(message.context)
+            if order is not None:
+                order.begun = True
             if order is not None and message.error:
                 del self._orders[message.context]
                 order.done(Refused(message.error))
@@ -183,6 +186,7 @@
         self._orders[self._context] = _Order(what, name, done, now + within)
         if self.raft.role is Role.LEADER:
             error = self._order(what, name, address)
+            self._orders[self._context].begun = True
             if error:
                 del self._orders[self._context]
                 done(Refused(error))
@@ -235,12 +239,15 @@
         raft = self.raft
         config = raft.log.config_as_of(max(raft.commit, raft.log.base))
         for context, order in list(self._orders.items()):
+            gone = raft.removed and (order.what, order.name) == ("remove", raft.name)
+            if not order.begun and not gone:
+                continue  # what seems done may have been so before
             if order.what == "transfer":
                 done = raft.leader == order.name and raft.role is not Role.CANDIDATE
             else:
                 done = (order.name in config.voters) is (order.what == "add")
                 done = done and (order.what == "add" or order.name not in config.learners)
-            if done or (raft.removed and (order.what, order.name) == ("remove", raft.name)):
+            if done or gone:
                 del self._orders[context]
                 order.done(None)
 
@@ -371,7 +378,7 @@
                 self._apply(entry)
             self._ready += out.reads
             self._serve_reads()
-            if out.committed:
+            if out.committed or out.snapshot is not None:
                 for watch in list(self.watches):
                     self._tell(watch)
                 self._compact()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -14,6 +14,7 @@
 import unittest
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -21,10 +22,12 @@
 
 from benchmarks.rig import ROOT, free_port
 from benchmarks.store_rig import Cluster, Process
+from eiderpin import interface as api
+from eiderpin.store import orders
 from eiderpin.store.asking import Asking, Failed
 from eiderpin.store.messages import Beat
 from eiderpin.store.transport import MAGIC, VERSION, Frames, Hello, Welcome, frame
-from tests.standins import wait_for
+from tests.standins import HttpWorker, http_call, wait_for
 from tests.test_command import eiderpin
 
 
@@ -329,6 +332,137 @@
             self.assertEqual(len(frames.feed(data[:cut]) + frames.feed(data[cut:])), 2)
 
 
+class OrdersAndPresence(unittest.TestCase):
+    def test_every_dispatcher_follows_an_order_and_knows_the_others(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            it, worker = Cluster(Path(folder)), HttpWorker("w1")
+            try:
+                for process in it.all.values():
+                    path = process.folder / "config.json"
+                    said = json.loads(path.read_text())
+                    said["workers"] = [{"name": "w1", "address": f"127.0.0.1:{worker.port}", "slots": 4}]
+                    path.write_text(json.dumps(said))
+                it.start()
+                edges = {n: f"127.0.0.1:{p.edge}" for n, p in it.all.items()}
+                doors = ",".join(p.door for p in it.all.values())
+
+                def run(*args: str, code: int = 0) -> str:
+                    done = eiderpin(args[0], *args[1:2], "--door", doors, *args[2:])
+                    self.assertEqual(done.returncode, code, done.stderr)
+                    return done.stdout + done.stderr
+
+                def health(name: str) -> int:
+                    return http_call(edges[name], "GET", "/_health")[0]
+
+                for name in it.all:
+                    wait_for(lambda name=name: health(name) == 200, f"{name} to be ready")
+                wait_for(lambda: run("dispatchers").count(" up ") == 3, "all to be seen")
+                processes = list(it.all.values())
+                wait_for(lambda: all("3 dispatchers share" in p.log() for p in processes), "the shares")
+                run("workers", "cordon", "w1", "--why", "its fan")
+                for name in it.all:
+                    wait_for(lambda name=name: health(name) == 503, f"{name} to follow")
+                self.assertIn("w1  cordoned  (its fan)", run("workers", "orders"))
+                # It holds over a kill, also of all.
+                for process in it.all.values():
+                    process.kill()
+                for process in it.all.values():
+                    process.start()
+                it.leader()
+                wait_for(lambda: all(p.log().count("order for worker w1") == 2 for p in processes), "it")
+                self.assertEqual([health(name) for name in it.all], [503] * 3)
+                run("workers", "cap", "w1", "2")
+                run("workers", "release", "w1")
+                self.assertIn("w1  2 slots", run("workers", "orders"))
+                for name in it.all:
+                    wait_for(lambda name=name: health(name) == 200, f"{name} to follow")
+                run("workers", "cap", "w1", "0")
+                self.assertEqual(run("workers", "orders"), "")
+                self.assertIn("slots: 0.5", run("workers", "cap", "w1", "0.5", code=2))
+                # A dead one is no longer counted.
+                gone = next(n for n in it.all if n != it.leader())
+                it.all[gone].kill()
+                alive = [p for n, p in it.all.items() if n != gone]
+                wait_for(lambda: all("2 dispatchers share" in p.log() for p in alive), "the new shares")
+                # A document that makes no sense is told of, and the order that stood is kept.
+                it.asking().put("orders/workers/w1", b"{")
+                wait_for(lambda: all("w1 is not followed" in p.log() for p in alive), "the warning")
+            finally:
+                it.stop()
+                worker.stop()
+
+    def test_orders_take_away_and_never_add(self) -> None:
+        entry = api.WorkerEntry("w1", "", "", -1, api.WorkerState.IN_SERVICE, slots=4.0)
+        unknown = replace(entry, slots=None)
+        drains = replace(entry, state=api.WorkerState.DRAINING)
+        for said, before, state, slots in (
+            (b"{}", entry, "IN_SERVICE", 4.0), (b'{"cordon":true}', entry, "DRAINING", 4.0),
+            (b'{"slots":2}', entry, "IN_SERVICE", 2.0), (b'{"slots":9}', entry, "IN_SERVICE", 4.0),
+            (b'{"slots":2}', unknown, "IN_SERVICE", 2.0), (b'{"cordon":false}', drains, "DRAINING", 4.0),
+        ):  # fmt: skip
+            it = orders.Orders()
+            it.take("w1", orders.read(said))
+            got = it.on(before)
+            self.assertEqual((got.state.name, got.slots), (state, slots), said)
+        for said, why in (
+            (b"", "JSON"), (b"1", "an object"), (b'{"cordon":1}', "true or false"), (b'{"x":1}', "no such"),
+            (b'{"slots":0}', "a number from 1"), (b'{"slots":true}', "a number"), (b'{"why":1}', "text"),
+        ):  # fmt: skip
+            with self.assertRaisesRegex(ValueError, why):
+                orders.read(said)
+
+    def test_a_cap_is_kept_to_at_once(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            held, answers, go = [], [], threading.Event()
+
+            def act(worker: HttpWorker, rid: str, handler: Any) -> None:
+                held.append(rid)
+                handler.say(202)
+                worker.tell(rid, "started")
+                while not go.wait(0.3):
+                    worker.tell(rid, "running", share=0.1)
+                worker.tell(rid, "done", result="x")
+
+            def ask(*numbers: int) -> None:
+                for i in numbers:
+                    args = (worker.back, "POST", "/time-lookup")
+                    threading.Thread(
+                        target=lambda a=args, i=i: answers.append(http_call(*a, Req_Id=f"q{i}")[0]),
+                        daemon=True,
+                    ).start()
+
+            worker, one = HttpWorker("w1", act), Process(Path(folder), "solo", {}, "")
+            one.parts["store"] = {"directory": str(one.directory)}
+            path = one.folder / "config.json"
+            said = json.loads(path.read_text())
+            said["workers"] = [{"name": "w1", "address": f"127.0.0.1:{worker.port}", "slots": 4}]
+            path.write_text(json.dumps(said))
+            worker.back = f"127.0.0.1:{one.edge}"
+            one.start()
+            try:
+                store = Asking([one.door], 15.0)
+                store.ask("status")
+                wait_for(lambda: http_call(worker.back, "GET", "/_health")[0] == 200, "it to be ready")
+                store.put("orders/workers/w1", orders.Order(slots=2).pack())
+                wait_for(lambda: "order for worker w1" in one.log(), "the order")
+                ask(*range(6))
+                wait_for(lambda: len(held) == 2, "two to be out")
+                self.assertFalse(threading.Event().wait(0.3) or len(held) > 2)
+                store.change("txn", deletes=["orders/workers/w1"])
+                wait_for(lambda: "taken back" in one.log(), "the order to go")
+                go.set()
+                wait_for(lambda: len(answers) == 6, "all answers")
+                go.clear()
+                ask(*range(6, 12))
+                wait_for(lambda: len(held) > 8, "more than two to be out")
+                go.set()
+                wait_for(lambda: len(answers) == 12, "all answers")
+            finally:
+                go.set()
+                one.kill()
+                worker.stop()
+
+
 class Commands(unittest.TestCase):
     def test_each_against_a_store(self) -> None:
         with cluster(1) as it, tempfile.TemporaryDirectory() as folder:
