Keep the configuration that dispatchers share in the store, by versions

Need: a change of classes or workers had to be put into each dispatcher's file and told by SIGHUP.

Change: eiderpin config set checks a file and makes it the next version; each dispatcher takes it, applies workers and discovery at once, says what takes a restart, and keeps the last one beside its log so that it is there at a start. One that cannot be used changes nothing and is told of. config show, check, diff, rollback. What is each dispatcher's own stays in its own file.

--- a/eiderpin/cli/__init__.py
+++ b/eiderpin/cli/__init__.py
@@ -14,6 +14,7 @@
 # name: module and attribute
 COMMANDS = {
     "check": "eiderpin.cli.check:check",
+    "config": "eiderpin.cli.config:config",
     "dispatchers": "eiderpin.cli.workers:dispatchers",
     "jobs": "eiderpin.cli.jobs:jobs",
     "run": "eiderpin.cli:run",
--- /dev/null
+++ b/eiderpin/cli/config.py
@@ -0,0 +1,143 @@
+"""`eiderpin config`: the configuration that the dispatchers of a store share, by versions."""
+
+from __future__ import annotations
+
+import base64
+import difflib
+import json
+import sys
+from pathlib import Path
+
+import click
+
+from eiderpin.cli.store import asking, door
+from eiderpin.configuration import ConfigError, read_shared
+from eiderpin.store.asking import Asking, Failed
+
+CURRENT, VERSIONS = "config/current", "config/versions/"
+PRESENT = "dispatchers/"
+STAND_IN = {"name": "x", "listen": "127.0.0.1:0", "workers": []}  # for what is each dispatcher's own
+
+
+@click.group()
+def config() -> None:
+    """The configuration that dispatchers share: settings and workers. What is each one's own (name, listen,
+    management, limits, seed) stays in its own file."""
+
+
+def problem(text: bytes) -> str:
+    """What is wrong with it; empty: nothing."""
+    try:
+        read_shared(STAND_IN, text)
+    except ConfigError as error:
+        return str(error)
+    return ""
+
+
+def current(store: Asking) -> tuple[int, bytes, int]:
+    """Version, text and the document's revision; zeros where there is none. Raises `Failed`."""
+    try:
+        value, said = store.get(CURRENT)
+    except Failed as error:
+        if error.kind != "absent":
+            raise
+        return 0, b"", 0
+    version, _, text = value.partition(b"\n")
+    return int(version), text, said["revision"]
+
+
+def version_of(store: Asking, number: int) -> bytes:
+    return store.get(f"{VERSIONS}{number:08d}")[0]
+
+
+def install(store: Asking, text: bytes) -> int:
+    """Make `text` the next version, if nobody else makes one meanwhile."""
+    before, _, revision = current(store)
+    number = before + 1
+
+    def row(name: str, value: bytes) -> dict[str, str]:
+        return {"name": name, "value": base64.b64encode(value).decode()}
+
+    store.change(
+        "txn", puts=[row(CURRENT, b"%d\n" % number + text), row(f"{VERSIONS}{number:08d}", text)],
+        compares=[{"name": CURRENT, "revision": revision}],
+    )  # fmt: skip
+    return number
+
+
+@config.command()
+@click.argument("file", type=click.Path(exists=True))
+def check(file: str) -> None:
+    """Say whether dispatchers could take FILE."""
+    wrong = problem(Path(file).read_bytes())
+    if wrong:
+        click.echo(f"eiderpin: {file}: {wrong}", err=True)
+        sys.exit(2)
+    click.echo(f"{file}: good")
+
+
+@config.command("set")
+@door
+@click.argument("file", type=click.Path(exists=True))
+def set_(doors: str, file: str) -> None:
+    """Make FILE, once checked, the configuration of all dispatchers."""
+    text = Path(file).read_bytes()
+    wrong = problem(text)
+    if wrong:
+        click.echo(f"eiderpin: {file}: {wrong}", err=True)
+        sys.exit(2)
+    with asking(doors) as s:
+        click.echo(f"version {install(s, text)}")
+
+
+@config.command()
+@door
+@click.option("--version", "number", type=int, help="An earlier one.")
+def show(doors: str, number: int | None) -> None:
+    """The configuration, and what became of it at each dispatcher."""
+    with asking(doors) as s:
+        if number is not None:
+            sys.stdout.buffer.write(version_of(s, number))
+            return
+        now, text, _ = current(s)
+        rows = s.ask("range", prefix=PRESENT, most=1000)["documents"]
+    sys.stdout.buffer.write(text)
+    sys.stdout.flush()
+    click.echo(f"version {now}" if now else "no configuration is shared", err=True)
+    for row in rows:
+        said = json.loads(base64.b64decode(row["value"]))
+        click.echo(f"{row['name'].removeprefix(PRESENT)}: {said['config'] or 'none taken'}", err=True)
+
+
+@config.command()
+@door
+@click.argument("one", type=int)
+@click.argument("other", type=int, required=False)
+def diff(doors: str, one: int, other: int | None) -> None:
+    """What has changed from one version to another, or to the one that holds; exit code 1 where they
+    differ."""
+    with asking(doors) as s:
+        before = version_of(s, one)
+        now, text, _ = current(s)
+        after = version_of(s, other) if other is not None else text
+    lines = list(
+        difflib.unified_diff(
+            before.decode().splitlines(), after.decode().splitlines(), f"version {one}",
+            f"version {other if other is not None else now}", lineterm="",
+        )
+    )  # fmt: skip
+    click.echo("\n".join(lines))
+    sys.exit(1 if lines else 0)
+
+
+@config.command()
+@door
+@click.argument("number", type=int, required=False)
+def rollback(doors: str, number: int | None) -> None:
+    """Go back to version NUMBER, or to the one before; as a new version."""
+    with asking(doors) as s:
+        before, _, _ = current(s)
+        back = number if number is not None else before - 1
+        if back < 1:
+            raise Failed("refused", "there is no earlier version")
+        click.echo(f"version {install(s, version_of(s, back))}, which is version {back} again")
--- a/eiderpin/configuration.py
+++ b/eiderpin/configuration.py
@@ -24,6 +24,7 @@
 FRONTS = "deploy/fronts.json"  # beside the program: which further fronts listen, and where
 EXTRA, EXTRA_SHARE = 48, 1 / 6  # edge connections past those that wait for jobs: so many, or this share
 FEW_SOCKETS = 96  # fewer cannot be shared out
+EACH_ITS_OWN = ("name", "listen", "management", "seed", "limits", "known")  # never shared by dispatchers
 OWN = 16  # descriptors for standard streams, signals, listeners, discovery and chance
 
 
@@ -50,6 +51,9 @@
     inherited: int | None = None  # the descriptor that clients' connections come by; None: we bind `listen`
 
 
+SHARED = ("discovery", "workers", "settings")  # what dispatchers may share
+
+
 def shares(config: Config, beside: int = 0) -> tuple[int, int, int]:
     """How many descriptors the workers' side, each front and the edge's further connections may use, while a
     predecessor still uses `beside` of them."""
@@ -99,29 +103,76 @@
             "(deploy/example.toml explains each setting; `eiderpin try` needs none)"
         )
     with open(path, "rb") as file:
-        config = read_config(file.read(), toml=path.endswith(".toml"))
+        own = parse(file.read(), toml=path.endswith(".toml"))
+    config = read_said(own)
     read_environment(config)
     named = os.environ.get("EIDERPIN_FRONTS", FRONTS) if parts is None else parts
     if parts or (named and os.path.exists(named)):
         with open(named, "rb") as file:
             read_fronts(config, file.read())
+    return config if config.store is None else with_last_shared(config, own)
+
+
+def last_shared(config: Config) -> str:
+    """Where the shared configuration that was taken last is kept, so that it is there at a start."""
+    assert config.store is not None
+    return os.path.join(config.store.folder, "shared-configuration")
+
+
+def replace_file(path: str, data: bytes) -> None:
+    """It is whole, on disk, or as it was. Raises `OSError`."""
+    with open(f"{path}.new", "wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    os.rename(f"{path}.new", path)
+
+
+def with_last_shared(config: Config, own: Any) -> Config:
+    """What the store's configuration said last counts from the start on. One that can't be used is left."""
+    try:
+        with open(last_shared(config), "rb") as file:
+            new = read_shared(own, file.read())
+    except (OSError, ConfigError):
+        return config
+    for name in SHARED:
+        setattr(config, name, getattr(new, name))
     return config
 
 
-def read_config(text: bytes, toml: bool = False) -> Config:
-    """The platform's JSON, or the same in TOML."""
+def parse(text: bytes, toml: bool = False) -> Any:
+    """The platform's JSON, or the same in TOML, not yet checked. Raises `ConfigError`."""
     if toml:
         import tomllib
 
         try:
-            return read_said(tomllib.loads(text.decode()))
+            return tomllib.loads(text.decode())
         except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
             raise ConfigError(f"the configuration is not TOML: {error}".replace("\n", " ")) from None
     try:
-        said: Any = orjson.loads(text)
+        return orjson.loads(text)
     except orjson.JSONDecodeError as error:
         raise ConfigError(f"the configuration is not JSON: {error}") from None
-    return read_said(said)
+
+
+def read_config(text: bytes, toml: bool = False) -> Config:
+    """Raises `ConfigError`."""
+    return read_said(parse(text, toml))
+
+
+def read_shared(own: Any, text: bytes) -> Config:
+    """The configuration that dispatchers share, as it holds for the one whose own file says `own`: what is
+    each one's own stays that file's. Raises `ConfigError`."""
+    shared = parse(text, toml=not text.lstrip().startswith(b"{"))
+    if not isinstance(shared, dict):
+        raise ConfigError("the configuration must be an object")
+    for name in EACH_ITS_OWN:
+        shared.pop(name, None)
+        if name in own:
+            shared[name] = own[name]
+    if "discovery" not in shared and "workers" not in shared:
+        shared |= {name: own[name] for name in ("discovery", "workers") if name in own}
+    return read_said(shared)
 
 
 def read_said(said: Any) -> Config:
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -14,7 +14,7 @@
 
 import orjson
 
-from eiderpin import VERSION, logs
+from eiderpin import VERSION, configuration, logs
 from eiderpin.configuration import OWN, Config, ConfigError, load, read_config, shares
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Clock, Deadlines
@@ -155,7 +155,7 @@
         if self.management is not None:
             self.management.parts["store"] = door.StoreDoor(store)
         self.shared_state = SharedState(
-            store, self.core, options.name, self.about, self.say,
+            store, self.core, options.name, self.about, self.take_shared, self.say,
             lambda text: logs.event(text, logging.WARNING),
         )  # fmt: skip
         return store
@@ -315,16 +315,39 @@
             logs.event(f"not reloaded: {error}".replace("\n", " "), logging.WARNING)
             return
         self.counters.add("in.reloads")
+        stay = self.take(new)
+        if stay:
+            self.say(f"reloaded; a restart is needed for: {', '.join(stay)}")
+
+    def take(self, new: Config) -> list[str]:
+        """Apply what can be applied at once; returns what takes a restart."""
         if self.discovery is not None and new.discovery is not None:
             self.config.discovery = new.discovery
             self.discovery.move(new.discovery)
         if self.listed is not None and new.workers is not None:
             self.config.workers = new.workers
             self.listed.tell(new.workers)
+        if self.store is not None:  # it follows those that are there
+            now = self.config.settings
+            new.settings.instances, new.settings.instance = now.instances, now.instance
         names = [f.name for f in fields(Config) if f.name not in AT_ONCE]
-        stay = [n for n in names if getattr(new, n) != getattr(self.config, n)]
-        if stay:
-            self.say(f"reloaded; a restart is needed for: {', '.join(stay)}")
+        return [n for n in names if getattr(new, n) != getattr(self.config, n)]
+
+    def take_shared(self, text: bytes) -> str:
+        """The configuration that all dispatchers of the store share has changed. Returns what became of it
+        here; one that can't be used changes nothing."""
+        path = self.path or ""
+        try:
+            with open(path, "rb") as file:
+                own = configuration.parse(file.read(), toml=path.endswith(".toml"))
+            new = configuration.read_shared(own, text)
+            configuration.replace_file(configuration.last_shared(self.config), text)
+        except (OSError, ConfigError) as error:
+            self.counters.add("in.reloads_bad")
+            return f"not taken: {error}".replace("\n", " ")
+        self.counters.add("in.reloads")
+        stay = self.take(new)
+        return f"taken; a restart is needed for: {', '.join(stay)}" if stay else "taken"
 
     def over(self) -> bool:
         if not self.may_end() or (self.ledger is not None and not self.ledger.quiet()):
--- a/eiderpin/shared_state.py
+++ b/eiderpin/shared_state.py
@@ -15,6 +15,7 @@
 from eiderpin.store.state import Answer, Compacted, Event, Grant, Keep, Operation, Put, Transaction
 
 PRESENT = "dispatchers/"
+CONFIG = "config/current"  # a line with the version, then its text
 LEASE = 5000.0  # ms after which a dispatcher that says nothing is no longer counted
 KEEP_EVERY = 1000.0
 WITHIN = 900.0
@@ -25,9 +26,11 @@
 
     def __init__(
         self, host: StoreHost, core: Dispatcher, name: str, about: Callable[[], dict[str, Any]],
-        say: Callable[[str], None], warn: Callable[[str], None],
+        take_shared: Callable[[bytes], str], say: Callable[[str], None], warn: Callable[[str], None],
     ) -> None:  # fmt: skip
         self.host, self.core, self.name, self.about, self.say, self.warn = host, core, name, about, say, warn
+        self.take_shared = take_shared
+        self.config = ""  # what became of the shared configuration here
         self.orders = orders.Orders()
         core.orders = self.orders
         self.others: set[str] = set()  # all that are there, we among them
@@ -35,6 +38,7 @@
         self.told: dict[str, Any] = {}
         self.busy = False  # a command of ours is on its way
         self.follow(orders.PREFIX, self.ordered)
+        self.follow(CONFIG, self.configured)
         if host.options.listen is not None:
             self.follow(PRESENT, self.met)
         self.beat()
@@ -79,6 +83,17 @@
             self.say(f"store: order for worker {name}: {order if order is not None else 'taken back'}")
             self.core.reorder([name])
 
+    # -- the configuration
+
+    def configured(self, name: str, value: bytes | None) -> None:
+        """`CONFIG` itself is what holds; its versions are for those who go back."""
+        if name or value is None:
+            return
+        version, _, text = value.partition(b"\n")
+        number = version.decode("ascii", "replace")
+        self.config = f"version {number} {self.take_shared(text)}"
+        (self.warn if "not taken" in self.config else self.say)(f"store: configuration {self.config}")
+
     # -- who is there
 
     def met(self, name: str, value: bytes | None) -> None:
@@ -93,7 +108,7 @@
         self.core.deadlines.set(self.core.clock.now() + KEEP_EVERY, self.beat)
         if self.busy or self.host.member.failed:
             return
-        about = self.about()
+        about = self.all_about()
         if not self.lease:
             self.submit(Grant(LEASE), self.granted)
         elif about != self.told:
@@ -101,6 +116,9 @@
         else:
             self.submit(Keep(self.lease), self.kept)
 
+    def all_about(self) -> dict[str, Any]:
+        return {**self.about(), "config": self.config}
+
     def submit(self, op: Operation, done: Callable[[Answer], None]) -> None:
         def answered(answer: Answer | Exception) -> None:
             self.busy = False
@@ -114,7 +132,7 @@
     def granted(self, answer: Answer) -> None:
         if answer.lease:
             self.lease = answer.lease
-            self.tell(self.about())
+            self.tell(self.all_about())
 
     def tell(self, about: dict[str, Any]) -> None:
         def done(answer: Answer) -> None:
--- a/eiderpin/store/backup.py
+++ b/eiderpin/store/backup.py
@@ -10,6 +10,7 @@
 import zstandard
 from crc32c import crc32c
 
+from eiderpin.configuration import replace_file
 from eiderpin.durable.files import Files
 from eiderpin.durable.log import Log
 from eiderpin.store.messages import Config, Hard, Snapshot
@@ -25,11 +26,7 @@
 def save(path: str, image: bytes) -> None:
     """Raises `OSError`; the file is whole or as it was."""
     packed = zstandard.ZstdCompressor(level=3).compress(image)
-    with open(f"{path}.tmp", "wb") as file:
-        file.write(_HEAD.pack(MAGIC, FORMAT, 0, len(image), crc32c(packed)) + packed)
-        file.flush()
-        os.fsync(file.fileno())
-    os.rename(f"{path}.tmp", path)
+    replace_file(path, _HEAD.pack(MAGIC, FORMAT, 0, len(image), crc32c(packed)) + packed)
 
 
 def load(path: str) -> bytes:
