--- /dev/null
+++ b/tests/test_store_state.py
@@ -0,0 +1,201 @@
+"""The store's documents: tables of commands, and the state machine against a plain model."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from eiderpin.store import state
+from eiderpin.store.state import (
+    Answer,
+    Close,
+    Command,
+    Compacted,
+    Compare,
+    Delete,
+    Event,
+    Expire,
+    Grant,
+    Keep,
+    Open,
+    Operation,
+    Put,
+    Revoke,
+    Store,
+    Transaction,
+    pack,
+    unpack,
+)
+
+
+def do(store: Store, op: Operation, client: str = "", number: int = 0) -> Answer:
+    return store.apply(unpack(pack(Command(client, number, op))))
+
+
+def put(store: Store, name: str, value: bytes, revision: int | None = None, lease: int = 0) -> Answer:
+    compares = [] if revision is None else [Compare(name, revision)]
+    return do(store, Transaction([Put(name, value, lease)], compares))
+
+
+class Documents(unittest.TestCase):
+    def test_compare_and_set_over_several_names(self) -> None:
+        store = Store()
+        one = put(store, "a", b"1", 0)
+        self.assertEqual((one.ok, one.revision), (True, 1))
+        both = [Put("a", b"2"), Put("b", b"2")]
+        for compares, ok in (
+            ([Compare("a", 0)], False), ([Compare("a", 1), Compare("b", 1)], False),
+            ([Compare("a", 1), Compare("b", 0)], True), ([Compare("a", 1)], False),
+        ):  # fmt: skip
+            self.assertEqual(do(store, Transaction(both, compares)).ok, ok)
+        rows = [(d.name, d.revision, d.created) for d in store.range("")]
+        self.assertEqual(rows, [("a", 2, 1), ("b", 2, 2)])
+        self.assertEqual(do(store, Transaction([Delete("none")])).revision, 2)  # nothing has changed
+
+    def test_what_is_refused_changes_nothing(self) -> None:
+        store = Store()
+        put(store, "a", b"1")
+        before = store.image()
+        many = [Put(f"n{i}", b"") for i in range(state.MOST_OPS + 1)]
+        for op, why in (
+            (Transaction([]), "0 changes"), (Transaction(many), "changes in one"),
+            (Transaction([Put("", b"")]), "a name has"), (Transaction([Put("x" * 600, b"")]), "a name has"),
+            (Transaction([Put("a", b"x" * (state.MOST_DOCUMENT + 1))]), "are taken"),
+            (Transaction([Put(f"n{i}", b"x" * 200_000) for i in range(3)]), "bytes in one transaction"),
+            (Transaction([Put("a", b""), Delete("a")]), "twice"),
+            (Transaction([Put("a", b"", 7)]), "no lease 7"), (Grant(1.0), "1000 to"),
+            (Keep(9), "no lease 9"), (Revoke(9), "no lease 9"), (Open(""), "1 to 128"),
+        ):  # fmt: skip
+            answer = do(store, op)
+            self.assertIn(why, answer.error)
+            self.assertFalse(answer.ok)
+        self.assertEqual(store.image(), before)
+
+    def test_a_full_store_takes_what_makes_it_smaller(self) -> None:
+        with mock.patch.object(state, "MOST_BYTES", 1000), mock.patch.object(state, "MOST_DOCUMENTS", 3):
+            store = Store()
+            put(store, "a", b"x" * 900)
+            self.assertIn("is full", put(store, "b", b"x" * 200).error)
+            self.assertEqual(put(store, "a", b"x").error, "")
+            put(store, "b", b""), put(store, "c", b"")
+            self.assertIn("3 documents", put(store, "d", b"").error)
+            self.assertEqual(do(store, Transaction([Delete("a"), Put("d", b"")])).error, "")
+
+    def test_leases_in_the_stores_own_time(self) -> None:
+        store = Store()
+        one, other = do(store, Grant(2000.0)).lease, do(store, Grant(5000.0)).lease
+        put(store, "a", b"", lease=one), put(store, "b", b"", lease=other), put(store, "c", b"", lease=one)
+        put(store, "c", b"kept")  # taken out of it
+        do(store, Expire(1500.0)), do(store, Keep(one)), do(store, Expire(3000.0))
+        self.assertEqual(len(store.documents), 3)
+        do(store, Expire(3500.0))
+        self.assertEqual(sorted(store.documents), ["b", "c"])
+        do(store, Expire(100.0))  # of a leader whose word came late
+        self.assertEqual(store.now, 3500.0)
+        do(store, Revoke(other))
+        self.assertEqual(sorted(store.documents), ["c"])
+        self.assertEqual([e.value for e in store.since(1, "b")], [b"", None])
+
+    def test_a_numbered_command_is_carried_out_once(self) -> None:
+        store = Store()
+        raise_it = Transaction([Put("n", b"x")], [Compare("n", 0)])
+        self.assertIn("not known", do(store, raise_it, "c", 1).error)
+        do(store, Open("c"), "c", 0)
+        first = do(store, raise_it, "c", 1)
+        self.assertEqual(do(store, raise_it, "c", 1), first)
+        self.assertTrue(first.ok)
+        self.assertFalse(do(store, raise_it, "c", 2).ok)
+        self.assertIn("came before", do(store, raise_it, "c", 1).error)
+        do(store, Open("c"), "c", 0)  # asked for again: its numbers go on
+        self.assertIn("came before", do(store, raise_it, "c", 1).error)
+        do(store, Close("c"))
+        self.assertIn("not known", do(store, raise_it, "c", 3).error)
+        with mock.patch.object(state, "MOST_SESSIONS", 2):
+            for name in ("d", "e", "f"):
+                do(store, Open(name), name, 0)
+        self.assertEqual(list(store.sessions), ["e", "f"])
+
+    def test_the_history_forgets_whole_revisions(self) -> None:
+        store = Store(history=4)
+        for i in range(3):
+            do(store, Transaction([Put("a", b"%d" % i), Put("b", b"%d" % i)]))
+        self.assertEqual(store.oldest, 2)
+        self.assertEqual([e.revision for e in store.since(2)], [2, 2, 3, 3])
+        self.assertEqual(store.since(4), [])
+        with self.assertRaises(Compacted):
+            store.since(1)
+
+
+class AgainstAModel(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.store, self.twin = Store(history=30), Store(history=30)
+        self.plain: dict[str, bytes] = {}
+        self.seen: dict[str, bytes] = {}  # by watching
+        self.next = 1
+
+    def do(self, op: Operation) -> Answer:
+        answer = do(self.store, op)
+        assert do(self.twin, op) == answer
+        return answer
+
+    names = st.sampled_from("abcd")
+
+    @rule(name=names, value=st.binary(max_size=4), right=st.booleans())
+    def cas(self, name: str, value: bytes, right: bool) -> None:
+        known = self.store.get(name)
+        revision = known.revision if known is not None else 0
+        op = Transaction([Put(name, value)], [Compare(name, revision if right else revision + 1)])
+        assert self.do(op).ok is right
+        if right:
+            self.plain[name] = value
+
+    @rule(chosen=st.sets(names, min_size=1))
+    def delete(self, chosen: set[str]) -> None:
+        self.do(Transaction([Delete(n) for n in sorted(chosen)]))
+        for name in chosen:
+            self.plain.pop(name, None)
+
+    @rule()
+    def restart(self) -> None:
+        self.twin = Store.of(self.twin.image(), history=30)
+
+    @rule()
+    def watch(self) -> None:
+        events: list[Event] = []
+        try:
+            events = self.store.since(self.next)
+        except Compacted:
+            self.seen = {d.name: d.value for d in self.store.range("")}
+        for event in events:
+            if event.value is None:
+                del self.seen[event.name]
+            else:
+                self.seen[event.name] = event.value
+        self.next = self.store.revision + 1
+        assert self.seen == self.plain
+
+    @invariant()
+    def both_hold_what_the_plain_one_holds(self) -> None:
+        assert {d.name: d.value for d in self.store.range("")} == self.plain
+        assert self.store.image() == self.twin.image()
+        assert self.store.bytes == sum(len(n) + len(v) for n, v in self.plain.items())
+
+
+AgainstAModel.TestCase.settings = settings(max_examples=60, stateful_step_count=40, deadline=None)
+TestAgainstAModel = AgainstAModel.TestCase
+
+
+@pytest.mark.parametrize("data", [b"", b"\xc1", b"\x93", b"\x93\xa0\x00\x92\x63\x00"])
+def test_bytes_that_make_no_sense(data: bytes) -> None:
+    with pytest.raises(ValueError):
+        unpack(data)
+
+
+if __name__ == "__main__":
+    unittest.main()
