Let a new process take the member over when the old one beside it has ended

Need: in an upgrade with the store on, the new process ended with exit 2, for the old one owned the directory.

Change: it serves without a member, asks for the directory every 0.1 s, and its door says who has it; then it follows what the store says. benchmarks.store also measures jobs a second with the store on.

--- a/benchmarks/durable.py
+++ b/benchmarks/durable.py
@@ -67,13 +67,26 @@
     pipe.send(asyncio.run(play()))
 
 
-def serve_posts(folder: Path, pipes: list[Connection], ports: list[int], args: Any, durable: bool, mark: str
-                ) -> dict[str, float]:  # fmt: skip
+def start_workers(seed: int) -> tuple[list[Connection], list[int], list[multiprocessing.Process]]:
+    pipes, ports, workers = [], [], []
+    for i in range(WORKERS):
+        mine, theirs = multiprocessing.Pipe()
+        workers.append(multiprocessing.Process(target=worker_process, args=(theirs, i, seed + i)))
+        workers[-1].start()
+        pipes.append(mine)
+        ports.append(int(mine.recv()))
+    return pipes, ports, workers
+
+
+def serve_posts(
+    folder: Path, pipes: list[Connection], ports: list[int], args: Any, durable: bool, mark: str,
+    store: dict[str, Any] | None = None,
+) -> dict[str, float]:  # fmt: skip
     """One run of the program; the figures of it."""
     folder.mkdir()
     part = {"directory": str(folder / "ledger"), "classes": ["result-post"]} if durable else None
     # Slots enough for all clients: it is the dispatcher that is measured, not its workers' room.
-    program = Program(folder, [(f"w{i}", port) for i, port in enumerate(ports)], part, slots=args.clients)
+    program = Program(folder, [(f"w{i}", port) for i, port in enumerate(ports)], part, args.clients, store)
     for pipe in pipes:
         pipe.send(program.edge)
     program.start()
@@ -196,13 +209,7 @@
     result: dict[str, Any] = {"seed": args.seed, "clients": args.clients, "posts": args.posts}
     with tempfile.TemporaryDirectory(dir=args.folder) as name:
         folder = Path(name)
-        pipes, ports, workers = [], [], []
-        for i in range(WORKERS):
-            mine, theirs = multiprocessing.Pipe()
-            workers.append(multiprocessing.Process(target=worker_process, args=(theirs, i, args.seed + i)))
-            workers[-1].start()
-            pipes.append(mine)
-            ports.append(int(mine.recv()))
+        pipes, ports, workers = start_workers(args.seed)
         runs: dict[bool, list[dict[str, float]]] = {False: [], True: []}
         for turn in range(args.rounds):
             for durable in (False, True):
--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -51,8 +51,9 @@
     """The dispatcher in a process of its own, at the same addresses each time that it is started."""
 
     def __init__(
-        self, folder: Path, workers: list[tuple[str, int]], durable: dict[str, Any] | None, slots: int = 8
-    ) -> None:
+        self, folder: Path, workers: list[tuple[str, int]], durable: dict[str, Any] | None, slots: int = 8,
+        store: dict[str, Any] | None = None,
+    ) -> None:  # fmt: skip
         self.edge, self.gearman = free_port(), free_port()
         self.config, self.parts = folder / "config.json", folder / "parts.json"
         rows = [{"name": name, "address": f"127.0.0.1:{port}", "slots": slots} for name, port in workers]
@@ -62,6 +63,8 @@
         parts: dict[str, Any] = {"gearman": {"listen": f"127.0.0.1:{self.gearman}"}}
         if durable is not None:
             parts["durable"] = durable
+        if store is not None:
+            parts["store"] = store
         self.parts.write_text(json.dumps(parts))
         self.errors = folder / "stderr"
         self.process: subprocess.Popen[bytes] | None = None
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -4,7 +4,8 @@
 
 Commits a second and their times with three members, as ratios to one member and to a bare loop of write and
 fdatasync of the same bytes on the same disk; time without a leader after a kill, in election time-outs;
-restart and catch-up with a long log; what an idle member costs.
+restart and catch-up with a long log; what an idle member costs; what a dispatcher's jobs a second lose with
+the store on.
 Exit code 1 where a command failed or a document was lost.
 """
 
@@ -21,8 +22,9 @@
 from pathlib import Path
 from typing import Any
 
-from benchmarks.durable import bare_loop, cpu
-from benchmarks.store_rig import Cluster
+from benchmarks.durable import bare_loop, cpu, serve_posts, start_workers
+from benchmarks.rig import free_port
+from benchmarks.store_rig import Cluster, Process
 from eiderpin.store.asking import Asking, Failed
 from eiderpin.store.member import TICK
 from eiderpin.store.raft import ELECTION
@@ -123,6 +125,35 @@
             "all_restarted_s": round(time.monotonic() - begun, 2)}  # fmt: skip
 
 
+def jobs(folder: Path, rounds: int, posts: int, seed: int) -> dict[str, Any]:
+    """Jobs a second at a dispatcher that carries a member of three, as a share of those without a store."""
+    folder.mkdir()
+    asked = argparse.Namespace(clients=64, posts=posts)
+    pipes, ports, workers = start_workers(seed)
+    shares, failed = [], 0
+    try:
+        for turn in range(rounds):
+            off = serve_posts(folder / f"off{turn}", pipes, ports, asked, False, f"f{turn}")
+            members = {f"m{i}": f"127.0.0.1:{free_port()}" for i in range(3)}
+            others = [Process(folder, name, members, members[name]) for name in ("m1", "m2")]
+            for process in others:
+                process.directory = process.folder / f"store{turn}"
+                process.parts["store"]["directory"] = str(process.directory)
+                process.start()
+            part = {"directory": str(folder / f"store{turn}"), "name": "m0", "cluster": "c1",
+                    "listen": members["m0"], "members": members}  # fmt: skip
+            on = serve_posts(folder / f"on{turn}", pipes, ports, asked, False, f"n{turn}", part)
+            for process in others:
+                process.kill()
+            shares.append(on["posts_per_s"] / off["posts_per_s"])
+            failed += int(off["failed"] + on["failed"])
+    finally:
+        for worker in workers:
+            worker.terminate()
+    middle = statistics.median(shares)
+    return {"share": round(middle, 3), "shares": [round(s, 3) for s in shares], "failed": failed}
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(prog="benchmarks.store")
     parser.add_argument("--puts", type=int, default=3000)
@@ -162,6 +193,10 @@
                 "median": round(statistics.median(gaps), 2), "most": round(max(gaps), 2)
             }  # fmt: skip
             result["long"] = catch_up(three, args.entries)
+            one.stop()
+            three.stop()
+            result["jobs_with_the_store_on"] = jobs(folder / "jobs", args.rounds + 2, 9000, args.seed)
+            result["failed"] += result["jobs_with_the_store_on"]["failed"]
         finally:
             for each in (one, three):
                 if each is not None:
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -41,6 +41,7 @@
 LATEST_BEGIN = 3000.0  # ms in which a new process takes the clients, whatever it has not heard by then
 OWN_END = 1000.0  # ms after SIGTERM in which jobs may end here; then a successor has them
 FEW_MORE = 6  # connections to workers that a process may add once its successor has the clients
+STORE_EVERY = 100.0  # ms between looks whether our predecessor has given its member of the store up
 HELD_SHARE = 0.125  # of the memory, for requests that wait or have not come whole
 
 
@@ -116,7 +117,7 @@
             self.handover.ledger = self.ledger
             self.workers.not_ours = self.handover.pass_on
         if config.store is not None:
-            self.store = self.keep_store(config.store)
+            self.keep_store(config.store)
 
     def own_ledger(self, options: Options) -> Ownership:
         """Raises `ConfigError` where the ledger of durable jobs cannot be had."""
@@ -134,31 +135,37 @@
         except ownership.UNREADABLE as error:
             raise ConfigError(f"durable.directory {options.folder}: {error}") from None
 
-    def keep_store(self, options: StoreOptions) -> StoreHost:
-        """Raises `ConfigError` where our member of the store cannot be had."""
+    def keep_store(self, options: StoreOptions) -> None:
+        """Begin as a member of the store; where a process beside us still is that member, once it has ended.
+        Raises `ConfigError` where that can't be."""
         try:
+            from eiderpin.durable.files import Locked
             from eiderpin.shared_state import SharedState
             from eiderpin.store import door, host
         except ModuleNotFoundError as error:
             text = f"store: {error.name} is not installed: pip install 'eiderpin[durable]'"
             raise ConfigError(text) from None
+
+        def warn(text: str) -> None:
+            logs.event(text, logging.WARNING)
+
         rng = random.Random(f"{self.config.seed} {options.name} {os.getpid()}")
         try:
-            store = host.StoreHost(
-                self.loop, self.counters, options, rng, self.say,
-                lambda text: logs.event(text, logging.WARNING),
-            )  # fmt: skip
+            self.store = host.StoreHost(self.loop, self.counters, options, rng, self.say, warn)
         except host.UNREADABLE as error:
-            raise ConfigError(f"store.directory {options.folder}: {error}") from None
+            if not isinstance(error, Locked) or self.config.inherited is None:
+                raise ConfigError(f"store.directory {options.folder}: {error}") from None
+            self.deadlines.set(self.clock.now() + STORE_EVERY, lambda: self.keep_store(options))
+            if self.management is not None:
+                self.management.parts["store"] = door.Elsewhere()
+            return
         except ValueError as error:
             raise ConfigError(str(error)) from None
         if self.management is not None:
-            self.management.parts["store"] = door.StoreDoor(store)
+            self.management.parts["store"] = door.StoreDoor(self.store)
         self.shared_state = SharedState(
-            store, self.core, options.name, self.about, self.take_shared, self.say,
-            lambda text: logs.event(text, logging.WARNING),
-        )  # fmt: skip
-        return store
+            self.store, self.core, options.name, self.about, self.take_shared, self.say, warn
+        )
 
     def about(self) -> dict[str, Any]:
         """What other dispatchers and operators may know of us."""
--- a/eiderpin/store/door.py
+++ b/eiderpin/store/door.py
@@ -45,6 +45,15 @@
     """The call makes no sense; the message names the field."""
 
 
+class Elsewhere:
+    """While the process before us is still our member."""
+
+    most_line = 1 << 20
+
+    def call(self, caller: Call, said: bytes) -> None:
+        fail(caller, "no-leader", "the process beside this one is the member still: ask at its door")
+
+
 class StoreDoor:
     most_line = 1 << 20
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -290,6 +290,7 @@
     def __init__(
         self, discovery: Discovery, optimized: bool = True, fronts: tuple[str, ...] | dict[str, str] = (),
         inherits: Inherited | None = None, durable: dict[str, Any] | None = None, prelude: str = "",
+        store: dict[str, Any] | None = None,
         **config: Any,
     ) -> None:  # fmt: skip
         self.folder = tempfile.TemporaryDirectory()
@@ -304,6 +305,8 @@
         parts: dict[str, Any] = {f: {"listen": at} for f, at in listen.items()}
         if durable is not None:
             parts["durable"] = durable
+        if store is not None:
+            parts["store"] = store
         (path / "fronts.json").write_text(json.dumps(parts))
         env = {**os.environ, "GW_CONFIG": str(path / "config.json"), "EIDERPIN_LOG_FORMAT": "logfmt",
                "EIDERPIN_FRONTS": str(path / "fronts.json")}  # fmt: skip
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -29,6 +29,7 @@
 from eiderpin.store.transport import MAGIC, VERSION, Frames, Hello, Welcome, frame
 from tests.standins import HttpWorker, http_call, wait_for
 from tests.test_command import eiderpin
+from tests.test_upgrade import TOOK, said, side
 
 
 @contextmanager
@@ -122,6 +123,27 @@
             one.kill()
 
 
+class Upgrade(unittest.TestCase):
+    def test_the_member_changes_hands_with_the_directory(self) -> None:
+        with side() as it, tempfile.TemporaryDirectory() as folder:
+            store = {"directory": folder, "name": "d1"}
+            old = it.serving(store=store)
+            asking = Asking([old.at["management"]], 15.0)
+            asking.put("a", b"1")
+            asking.put("orders/workers/h1", orders.Order(cordon=True).pack())
+            new = it.serving(store=store)
+            said(old, TOOK)
+            asking.put("b", b"2")  # the old one is the member still
+            quick = Asking([new.at["management"]], 0.3)
+            with self.assertRaisesRegex(Failed, "ask at its door"):
+                quick.get("a")
+            old.process.send_signal(signal.SIGTERM)
+            self.assertEqual(old.process.wait(20), 0)
+            asking = Asking([new.at["management"]], 15.0)
+            self.assertEqual((asking.get("a")[0], asking.get("b")[0]), (b"1", b"2"))
+            said(new, "order for worker h1")
+
+
 class Together(unittest.TestCase):
     def test_it_outlives_its_leader_and_misses_nothing(self) -> None:
         with cluster() as it:
@@ -459,21 +481,21 @@
         entry = api.WorkerEntry("w1", "", "", -1, api.WorkerState.IN_SERVICE, slots=4.0)
         unknown = replace(entry, slots=None)
         drains = replace(entry, state=api.WorkerState.DRAINING)
-        for said, before, state, slots in (
+        for text, before, state, slots in (
             (b"{}", entry, "IN_SERVICE", 4.0), (b'{"cordon":true}', entry, "DRAINING", 4.0),
             (b'{"slots":2}', entry, "IN_SERVICE", 2.0), (b'{"slots":9}', entry, "IN_SERVICE", 4.0),
             (b'{"slots":2}', unknown, "IN_SERVICE", 2.0), (b'{"cordon":false}', drains, "DRAINING", 4.0),
         ):  # fmt: skip
             it = orders.Orders()
-            it.take("w1", orders.read(said))
+            it.take("w1", orders.read(text))
             got = it.on(before)
-            self.assertEqual((got.state.name, got.slots), (state, slots), said)
-        for said, why in (
+            self.assertEqual((got.state.name, got.slots), (state, slots), text)
+        for text, why in (
             (b"", "JSON"), (b"1", "an object"), (b'{"cordon":1}', "true or false"), (b'{"x":1}', "no such"),
             (b'{"slots":0}', "a number from 1"), (b'{"slots":true}', "a number"), (b'{"why":1}', "text"),
         ):  # fmt: skip
             with self.assertRaisesRegex(ValueError, why):
-                orders.read(said)
+                orders.read(text)
 
     def test_a_cap_is_kept_to_at_once(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
