Keep the outcomes of jobs that must not run twice for all dispatchers

Need: a client that resubmits a result-post to another dispatcher had it run again.

Change: classes named by store.outcomes are claimed by name in the store before their first byte, and their outcome is put there. Another dispatcher gives the kept answer, turns the job down while it is under way elsewhere, or says that it failed where its dispatcher has gone. Without a leader such jobs are turned down at once. It is a keeper beside the ledger's, behind the core's own protocol; off, nothing of it is imported.

--- a/eiderpin/cli/check.py
+++ b/eiderpin/cli/check.py
@@ -26,5 +26,6 @@
     source = [f"discovery at {config.discovery[0]}:{config.discovery[1]}"] if config.discovery else []
     source += [f"{len(config.workers)} listed workers"] if config.workers is not None else []
     click.echo(f"  workers from {' and '.join(source)}")
-    on = [n for n in ("gearman", "agent_check", "management", "durable") if getattr(config, n) is not None]
+    parts_ = ("gearman", "agent_check", "management", "durable", "store")
+    on = [n for n in parts_ if getattr(config, n) is not None]
     click.echo(f"  on: {', '.join(on) or 'no further parts'}")
--- a/eiderpin/configuration.py
+++ b/eiderpin/configuration.py
@@ -84,12 +84,15 @@
             if name == "store":
                 from eiderpin.store import options as store_options
 
-                config.store = store_options.read(said[name], config.name)
+                once = [c.name for c in config.settings.classes if c.repeat is not api.Repeat.FREE]
+                config.store = store_options.read(said[name], config.name, once)
                 continue
             if name not in ("gearman", "agent_check"):
                 raise ConfigError(f"there is no front or part {name!r}")
             listen = said[name].get("listen")
             setattr(config, name, _address(listen) if listen else None)
+        if config.durable is not None and config.store is not None and config.store.outcomes:
+            raise ConfigError("store.outcomes and durable exclude each other: a job has one keeper")
     except (ValueError, TypeError, AttributeError) as error:
         raise ConfigError(f"fronts: {error}".replace("\n", " ")) from None
 
--- /dev/null
+++ b/eiderpin/outcomes.py
@@ -0,0 +1,228 @@
+"""Kept outcomes of jobs that must not run twice, in the store: a resubmission to another dispatcher is not
+run again.
+
+A job is claimed by its name before its first byte goes to a worker, and its outcome is put there when it
+ends. Who asks for a name that another dispatcher has under way is turned down; one whose dispatcher has gone
+hears that the job failed, for it may have run. That costs two commits a job. Without a leader such jobs are
+turned down.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+import msgspec
+import orjson
+
+from eiderpin.core.deadlines import Deadline
+from eiderpin.core.dispatcher import Dispatcher
+from eiderpin.core.durability import OtherJob
+from eiderpin.core.flows import FAILED, Answer, Flow, Verdict
+from eiderpin.core.schedulings import Scheduling
+from eiderpin.interface import Outcome
+from eiderpin.jobs.ledger import fingerprint
+from eiderpin.store import state
+from eiderpin.store.host import StoreHost
+
+PREFIX = "outcomes/"
+PRESENT = "dispatchers/"
+BUCKET = 30_000.0  # ms for which outcomes go under one lease
+CLAIM_WITHIN = 2000.0  # ms that a claim may take
+END_WITHIN = 1000.0  # ms that a result waits at most for its place in the store
+MOST_UNSENT = 10_000
+AGAIN = 200.0  # ms between tries to get a lease
+
+
+class Claim(msgspec.Struct, array_like=True, frozen=True):
+    by: str  # dispatcher and when it began
+    print: bytes  # of target and body
+    verdict: str = ""  # empty: under way
+    result: bytes = b""
+
+
+class Outcomes:
+    """Implements `core.durability.Keeper`. `keep`: ms for which an outcome is kept after a job's claim, or a
+    little longer."""
+
+    def __init__(
+        self, host: StoreHost, core: Dispatcher, classes: frozenset[str], keep: float, name: str, began: int
+    ) -> None:
+        self.host, self.core, self.classes, self.keep = host, core, classes, keep
+        self.me = f"{name}/{began}"
+        self.number = 0
+        self.claimed: set[int] = set()  # jobs of ours
+        self.unsent: OrderedDict[str, None] = OrderedDict()  # claimed perhaps, and nothing of them was sent
+        self.lease_number = 0
+        self.renew_lease()
+
+    # -- the lease that outcomes go under
+
+    def renew_lease(self) -> None:
+        def done(answer: state.Answer | Exception) -> None:
+            good = isinstance(answer, state.Answer) and bool(answer.lease)
+            if isinstance(answer, state.Answer) and answer.lease:
+                self.lease_number = answer.lease
+            at = self.core.clock.now() + (BUCKET if good else AGAIN)
+            self.core.deadlines.set(at, self.renew_lease)
+
+        self.submit(state.Grant(self.keep + BUCKET), done, CLAIM_WITHIN)
+
+    def submit(
+        self, op: state.Operation, done: Callable[[state.Answer | Exception], None], within: float
+    ) -> None:
+        member = self.host.member
+        member.submit("", member.rng.getrandbits(53), op, done, self.core.clock.now(), within)
+
+    # -- what the core asks
+
+    def covers_class(self, cls: str) -> bool:
+        return cls in self.classes
+
+    def name_of(self, flow: Flow) -> str:
+        return f"{PREFIX}{flow.cls}/{flow.unique}"
+
+    def claim_of(self, flow: Flow) -> Claim | None:
+        document = self.host.member.store.get(self.name_of(flow))
+        try:
+            return msgspec.msgpack.decode(document.value, type=Claim) if document is not None else None
+        except msgspec.MsgspecError:
+            return Claim("", b"")  # somebody else's writing: nobody knows
+
+    def is_mine(self, flow: Flow) -> bool:
+        """Whether it is claimed by us, and has no outcome."""
+        claim = self.claim_of(flow)
+        return claim is not None and claim.by == self.me and not claim.verdict
+
+    def revision(self, name: str) -> int:
+        document = self.host.member.store.get(name)
+        return document.revision if document is not None else 0
+
+    def alive(self, by: str) -> bool:
+        name, _, began = by.rpartition("/")
+        document = self.host.member.store.get(PRESENT + name)
+        if document is None:
+            return False
+        try:
+            return str(orjson.loads(document.value).get("began")) == began
+        except (orjson.JSONDecodeError, AttributeError):
+            return False
+
+    def kept(self, flow: Flow) -> Answer | None:
+        claim = self.claim_of(flow)
+        if claim is None:
+            return None
+        if claim.print and claim.print != fingerprint(flow.target, flow.body):
+            raise OtherJob
+        if claim.verdict:
+            served = claim.verdict == Verdict.SERVED.value
+            return Answer(Verdict.SERVED, claim.result) if served else FAILED
+        if claim.by == self.me:
+            return None if self.name_of(flow) in self.unsent else FAILED
+        return None if self.alive(claim.by) else FAILED
+
+    def tell_kept(self, flow: Flow, answer: Answer, tell: Callable[[Answer], None]) -> None:
+        tell(answer)
+
+    def take(self, flow: Flow) -> bool:
+        claim = self.claim_of(flow)
+        if self.host.member.failed or (claim is not None and claim.by != self.me):
+            return False
+        self.number += 1
+        flow.job = self.number
+        return True
+
+    def when_kept(self, flow: Flow, call: Callable[[bool], None]) -> None:
+        call(True)
+
+    def lease(self, scheduling: Scheduling, send: Callable[[], None]) -> None:
+        """Claim the job's name before its first byte."""
+        flow = scheduling.flow
+        if flow.job in self.claimed:
+            send()
+            return
+        if not self.lease_number:
+            self.give_up(scheduling)
+            return
+        name = self.name_of(flow)
+        value = msgspec.msgpack.encode(Claim(self.me, fingerprint(flow.target, flow.body)))
+
+        # One of ours that may have been left, with nothing sent: it is written anew, so that a removal of it
+        # that is still on its way finds another revision.
+        left_over = self.revision(name) if name in self.unsent and self.is_mine(flow) else 0
+
+        def done(answer: state.Answer | Exception) -> None:
+            if not isinstance(answer, state.Answer) or answer.error or not answer.ok:
+                self.note_unsent(name)
+                if not scheduling.ended:
+                    self.give_up(scheduling)
+                return
+            if scheduling.ended or flow.ended:
+                self.note_unsent(name)
+                return
+            self.unsent.pop(name, None)
+            self.claimed.add(flow.job)
+            send()
+
+        put = state.Put(name, value, self.lease_number)
+        left = max(50.0, flow.deadline - self.core.clock.now())
+        claim = state.Transaction([put], [state.Compare(name, left_over)])
+        self.submit(claim, done, min(CLAIM_WITHIN, left))
+
+    def give_up(self, scheduling: Scheduling) -> None:
+        """It can't be claimed, and nothing of it has been sent."""
+        self.core.counters.add("outcomes.not_claimed")
+        self.core.ended(scheduling, Outcome.NOT_SENT)
+        self.core.turn_down(scheduling.flow)
+
+    def note_unsent(self, name: str) -> None:
+        self.unsent[name] = None
+        while len(self.unsent) > MOST_UNSENT:
+            self.unsent.popitem(last=False)
+
+    def renew(self, scheduling: Scheduling) -> None:
+        """A claim stands until its end."""
+
+    def released(self, scheduling: Scheduling, outcome: Outcome) -> None:
+        """A claim stands until its job's end."""
+
+    def end(self, flow: Flow, answer: Answer, told: bool, tell: Callable[[Answer], None]) -> None:
+        if flow.job not in self.claimed:
+            tell(answer)
+            return
+        self.claimed.discard(flow.job)
+        name = self.name_of(flow)
+        if answer.verdict is not Verdict.SERVED and not flow.may_have_run():
+            # It has not run: whoever asks again may have it run, here or elsewhere.
+            self.note_unsent(name)
+            gone = state.Transaction([state.Delete(name)], [state.Compare(name, self.revision(name))])
+            self.submit(gone, _nobody, CLAIM_WITHIN)
+            tell(answer)
+            return
+        claim = Claim(
+            self.me, fingerprint(flow.target, flow.body), answer.verdict.value, answer.result
+        )  # fmt: skip
+        put = state.Put(name, msgspec.msgpack.encode(claim), self.lease_number)
+        if answer.verdict is not Verdict.SERVED:
+            self.submit(state.Transaction([put]), _nobody, CLAIM_WITHIN)
+            tell(answer)  # a job that was given up on is answered at once
+            return
+        guard: Deadline | None = None
+
+        def once(said: state.Answer | Exception | None = None) -> None:
+            nonlocal tell
+            self.core.deadlines.drop(guard)
+            call, tell = tell, _nobody
+            call(answer)
+
+        now = self.core.clock.now()
+        at = min(now + END_WITHIN, max(now, flow.deadline - 5.0))
+        guard = self.core.deadlines.set(at, once)
+        self.submit(state.Transaction([put]), once, CLAIM_WITHIN)
+
+    def late(self, wire_id: str, worker: str, state: str, result: bytes) -> bool:
+        return False
+
+
+def _nobody(said: object) -> None:
+    """Nobody waits for it."""
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -158,6 +158,11 @@
             self.deadlines.set(self.clock.now() + STORE_EVERY, lambda: self.keep_store(options))
             if self.management is not None:
                 self.management.parts["store"] = door.Elsewhere()
+            if options.outcomes:
+                from eiderpin.jobs import elsewhere
+                from eiderpin.jobs import options as job_options
+
+                self.core.keeper = elsewhere.Elsewhere(job_options.Options("", options.outcomes))
             return
         except ValueError as error:
             raise ConfigError(str(error)) from None
@@ -166,6 +171,13 @@
         self.shared_state = SharedState(
             self.store, self.core, options.name, self.about, self.take_shared, self.say, warn
         )
+        if options.outcomes:
+            from eiderpin.outcomes import Outcomes
+
+            began = int(self.begun_at)
+            self.core.keeper = Outcomes(
+                self.store, self.core, options.outcomes, options.keep, options.name, began
+            )  # fmt: skip
 
     def about(self) -> dict[str, Any]:
         """What other dispatchers and operators may know of us."""
--- a/eiderpin/store/options.py
+++ b/eiderpin/store/options.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -18,14 +19,16 @@
     cluster: str = "eiderpin"
     listen: tuple[str, int] | None = None
     members: dict[str, str] = field(default_factory=dict)  # that a new cluster begins with
+    outcomes: frozenset[str] = frozenset()  # classes whose outcomes are kept for other dispatchers
+    keep: float = 600_000.0  # ms for which they are
     join: bool = False  # an empty directory waits to be added, and begins no cluster
 
 
-def read(said: Any, default_name: str) -> Options | None:
+def read(said: Any, default_name: str, single_shot: Collection[str] = ()) -> Options | None:
     """The `store` part of a configuration; None where it names no directory. Raises `ValueError`."""
     if not isinstance(said, dict):
         raise ValueError("store: an object is needed")
-    known = ("directory", "name", "cluster", "listen", "members", "join")
+    known = ("directory", "name", "cluster", "listen", "members", "join", "outcomes", "keep_s")
     for name in said:
         if name not in known:
             raise ValueError(f"store.{name}: there is no such setting; there are {', '.join(known)}")
@@ -50,6 +53,13 @@
     options.members, options.join = dict(members), said.get("join") is True
     if options.members and options.name not in options.members:
         raise ValueError(f"store.members: {options.name!r}, our own name, is not among them")
+    options.outcomes = frozenset(said.get("outcomes") or ())
+    for name in sorted(options.outcomes - set(single_shot)):
+        raise ValueError(f"store.outcomes: {name!r} is no class that must not run twice")
+    keep = said.get("keep_s", 600)
+    if isinstance(keep, bool) or not isinstance(keep, int | float) or not 60 <= keep <= 80_000:
+        raise ValueError(f"store.keep_s: {keep!r}; 60 to 80000 is expected")
+    options.keep = keep * 1000.0
     if options.listen is None and (options.join or len(options.members) > 1):
         raise ValueError("store.listen: an address is needed where there are other members")
     return options
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -13,7 +13,7 @@
 import threading
 import unittest
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -58,6 +58,9 @@
                 store.put("b", b"x", 0)
             self.assertEqual(failed.exception.kind, "differs")
             one.kill()
+            last = sorted(one.directory.glob("*.seg"))[-1]
+            with last.open("ab") as file:
+                file.write(b"\xe1\xd7\3\1\x20\0\0\0torn")  # a change that was half written
             one.start()
             self.assertEqual(store.get("b")[0], b"\0\xff")
             self.assertEqual(store.ask("status")["role"], "leader")
@@ -74,6 +77,8 @@
                 ({"directory": str(one.directory), "join": True}, "an address is needed"),
                 ({"directory": str(one.directory), "name": "a b"}, "letters, digits"),
                 ({"directory": "/proc/nowhere"}, "store.directory"),
+                ({"directory": str(one.directory), "outcomes": ["time-lookup"]}, "must not run twice"),
+                ({"directory": str(one.directory), "keep_s": 1}, "60 to 80000"),
             ):
                 one.parts["store"] = said
                 one.errors.unlink(missing_ok=True)
@@ -549,6 +554,74 @@
                 worker.stop()
 
 
+class KeptOutcomes(unittest.TestCase):
+    def test_a_resubmission_to_another_dispatcher_is_not_run_again(self) -> None:
+        tellers = []
+
+        def act(worker: HttpWorker, rid: str, handler: Any) -> None:
+            worker.ran[rid] += 1
+            handler.say(202)
+            if rid.startswith("held"):
+                tellers.append(rid)
+                return  # it is never told of
+            worker.tell(rid, "done", result=f"ran {rid}")
+
+        with tempfile.TemporaryDirectory() as folder:
+            it, worker = Cluster(Path(folder)), HttpWorker("w1", act)
+            try:
+                for process in it.all.values():
+                    path = process.folder / "config.json"
+                    plain = json.loads(path.read_text())
+                    plain["workers"] = [{"name": "w1", "address": f"127.0.0.1:{worker.port}", "slots": 9}]
+                    path.write_text(json.dumps(plain))
+                    process.parts["store"]["outcomes"] = ["result-post"]
+                it.start()
+                edges = [f"127.0.0.1:{p.edge}" for p in it.all.values()]
+                for edge in edges:
+                    wait_for(lambda edge=edge: http_call(edge, "GET", "/_health")[0] == 200, "its readiness")
+                wait_for(lambda: all("3 dispatchers share" in p.log() for p in it.all.values()), "the shares")
+
+                def post(edge: str, name: str, body: bytes = b"x", **more: str) -> tuple[int, bytes]:
+                    worker.back = edge
+                    key = f'"{name}"'
+                    return http_call(edge, "POST", "/result-post", body, Idempotency_Key=key, **more)[:2]
+
+                wait_for(lambda: post(edges[0], "a1") == (200, b"ran a1"), "a lease to be there")
+                for edge in edges:
+                    self.assertEqual(post(edge, "a1"), (200, b"ran a1"))
+                    self.assertEqual(post(edge, "a1", b"other")[0], 422)
+                self.assertEqual(worker.ran["a1"], 1)
+                # Under way at one, it is turned down at the others; its dispatcher gone, it has failed.
+                threading.Thread(target=quietly, args=(post, edges[0], "held"), daemon=True).start()
+                wait_for(lambda: worker.ran["held"], "the job to be out")
+                self.assertEqual(post(edges[1], "held")[0], 503)
+                it.all["m0"].kill()
+                wait_for(lambda: post(edges[1], "held")[0] == 500, "the dispatcher to be missed")
+                it.all["m0"].start()
+                wait_for(lambda: answers(edges[0]), "it to serve again")
+                wait_for(lambda: post(edges[0], "held")[0] == 500, "its own word")
+                self.assertEqual(worker.ran["held"], 1)
+                # Without a majority such jobs are turned down, others go on.
+                self.assertEqual(post(edges[2], "a2"), (200, b"ran a2"))
+                it.all["m0"].kill()
+                it.all["m1"].kill()
+                wait_for(lambda: post(edges[2], "a3", Req_Deadline_Ms="4000")[0] == 503, "a turn-down")
+                self.assertEqual(worker.ran["a3"], 0)
+                self.assertEqual(post(edges[2], "a2"), (200, b"ran a2"))  # what is kept is told
+                self.assertEqual(http_call(edges[2], "POST", "/time-lookup", Req_Id="q1")[0], 200)
+                it.all["m0"].start()
+                wait_for(lambda: post(edges[2], "a3") == (200, b"ran a3"), "the job to run at last")
+                self.assertEqual(max(worker.ran.values()), 1)
+            finally:
+                it.stop()
+                worker.stop()
+
+
+def quietly(call: Any, *args: Any) -> None:
+    with suppress(OSError):
+        call(*args)
+
+
 class Commands(unittest.TestCase):
     def test_each_against_a_store(self) -> None:
         with cluster(1) as it, tempfile.TemporaryDirectory() as folder:
