--- a/eiderpin/net/handover.py
+++ b/eiderpin/net/handover.py
@@ -34,6 +34,7 @@
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.flows import Flow
+from eiderpin.core.learned import check
 from eiderpin.core.moves import Moved, Waits, adopt, asked_by, hand_out
 from eiderpin.net.edge import Edge, EdgeConnection
 from eiderpin.net.loop import Connection, Listener, Loop
@@ -43,7 +44,6 @@
 SILENCE = 3000.0  # ms without a word after which the other is taken to be stuck
 BEAT = 500.0  # ms after which the state is told again though nothing has changed
 NEWS_WITHIN = 500.0  # ms in which the other must take a call-back; else its worker is asked to say it again
-FIGURES = {"shapes": 5, "workers": 4, "fleet": 3}  # of each kind that the decisions tell as learned
 MOST_CAME = 16  # descriptors that may have come and wait for their lines
 MOST_LINE = 4 << 20
 MOST_IDS = 20_000
@@ -134,10 +134,7 @@
             self.handover.core.tell(api.Beside(holds))
             self.handover.changed()
         elif "learned" in said:
-            learned = {
-                kind: {str(name): _floats(figures, FIGURES[kind]) for name, figures in of.items()}
-                for kind, of in said["learned"].items()
-            }
+            learned = check(said["learned"])
             self.handover.core.tell(api.Beside(self.held, learned))
         elif "serving" in said:
             self.serving = True
@@ -449,13 +446,6 @@
             link.ask(self.asks, news, one)
 
 
-def _floats(figures: Any, count: int) -> tuple[float, ...]:
-    got = tuple(float(x) for x in figures)
-    if len(got) != count or not all(0 <= x < 1e12 for x in got):
-        raise ValueError("no such figures")
-    return got
-
-
 def _short(path: str) -> str:
     """The same path, short enough for a socket's name."""
     if len(os.fsencode(path)) < 100:
--- a/eiderpin/shared_state.py
+++ b/eiderpin/shared_state.py
@@ -8,8 +8,10 @@
 
 import orjson
 
+from eiderpin import interface as api
 from eiderpin.core.dispatcher import Dispatcher
-from eiderpin.store import orders
+from eiderpin.core.learned import Learned
+from eiderpin.store import hints, orders
 from eiderpin.store.host import StoreHost
 from eiderpin.store.raft import Refused
 from eiderpin.store.state import Answer, Compacted, Event, Grant, Keep, Operation, Put, Transaction
@@ -19,6 +21,8 @@
 LEASE = 5000.0  # ms after which a dispatcher that says nothing is no longer counted
 KEEP_EVERY = 1000.0
 WITHIN = 900.0
+HINTS_WITHIN = 10_000.0  # ms after our start in which hints of what others have learned are taken
+LEARN_EVERY = 30_000.0  # ms between our own
 
 
 class SharedState:
@@ -34,11 +38,15 @@
         self.orders = orders.Orders()
         core.orders = self.orders
         self.others: set[str] = set()  # all that are there, we among them
+        self.hint: tuple[float, Learned] | None = None  # the newest, until the workers are known
+        self.hints_until = core.clock.now() + HINTS_WITHIN
+        self.learn_at = core.clock.now() + LEARN_EVERY
         self.lease = 0
         self.told: dict[str, Any] = {}
         self.busy = False  # a command of ours is on its way
         self.follow(orders.PREFIX, self.ordered)
         self.follow(CONFIG, self.configured)
+        self.follow(hints.PREFIX, self.hinted)
         if host.options.listen is not None:
             self.follow(PRESENT, self.met)
         self.beat()
@@ -94,6 +102,36 @@
         self.config = f"version {number} {self.take_shared(text)}"
         (self.warn if "not taken" in self.config else self.say)(f"store: configuration {self.config}")
 
+    # -- what has been learned
+
+    def hinted(self, name: str, value: bytes | None) -> None:
+        """What others, or we in an earlier life, knew of the workers: better than guesses, for a start."""
+        now = self.core.clock.now()
+        if value is None or now > self.hints_until:
+            return
+        try:
+            learned = hints.read(value, now)
+        except ValueError as error:
+            self.warn(f"store: {hints.PREFIX}{name}: {error}")
+            return
+        if learned is not None:
+            self.hint = now, learned
+
+    def learn(self) -> None:
+        """Give a hint that has come to the decisions, and others what we have learned."""
+        now = self.core.clock.now()
+        if self.hint is not None and self.core.listed:
+            self.core.tell(api.Beside({}, self.hint[1]))
+            self.hint = None
+            self.host.counters.add("store.hints")
+        if now < self.learn_at or self.busy:
+            return
+        self.learn_at = now + LEARN_EVERY
+        value = hints.pack(self.core.module.learned(), now)
+        if value is not None:
+            put = Put(f"{hints.PREFIX}{self.name}", value)
+            self.submit(Transaction([put]), lambda answer: None)
+
     # -- who is there
 
     def met(self, name: str, value: bytes | None) -> None:
@@ -106,6 +144,7 @@
     def beat(self) -> None:
         """Hold our lease, and keep what is said of us true."""
         self.core.deadlines.set(self.core.clock.now() + KEEP_EVERY, self.beat)
+        self.learn()
         if self.busy or self.host.member.failed:
             return
         about = self.all_about()
