--- a/benchmarks/store_chaos.py
+++ b/benchmarks/store_chaos.py
@@ -1,5 +1,5 @@
-"""Three real processes on loopback, killed and stopped at random, under writes, reads, watches and changes of
-leader.
+"""Three real processes on loopback, killed and stopped at random, under writes, reads, watches, changes of
+leader and of the shared configuration.
 
     python -m benchmarks.store_chaos --minutes 10 --seed N
 
@@ -21,7 +21,9 @@
 from pathlib import Path
 from typing import Any
 
+from benchmarks.rig import settings
 from benchmarks.store_rig import Cluster
+from eiderpin.cli.config import current, install, problem, version_of
 from eiderpin.store.asking import Asking, Failed
 
 WRITERS, RAISERS, WATCHERS = 4, 3, 2
@@ -39,6 +41,7 @@
         self.seen: list[list[tuple[int, str, str | None]]] = [[] for _ in range(WATCHERS)]
         self.watched: list[str] = [""] * WATCHERS
         self.lock = threading.Lock()
+        self.installed = self.maybe_installed = self.versions = 0
 
     def asking(self, within: float = 30.0) -> Asking:
         with self.lock:
@@ -90,6 +93,22 @@
                     self.broken.append(f"counter: {error}")
                 store = self.asking()
 
+    def configure(self) -> None:
+        """Makes one version of the shared configuration after the other; each is whole, and counted once."""
+        store, number = self.asking(), 0
+        while not self.stop.is_set():
+            number += 1
+            text = json.dumps({"settings": settings(), "workers": [], "mark": number}).encode()
+            try:
+                self.versions = max(self.versions, install(store, text))
+                self.installed += 1
+            except Failed as error:
+                self.maybe_installed += error.kind == "unknown"
+                if error.kind in ("bad", "refused"):
+                    self.broken.append(f"configuration: {error}")
+                store = self.asking()
+            self.stop.wait(0.5)
+
     def watch(self, number: int) -> None:
         try:
             for event in self.asking().watch("w/", 0):
@@ -124,6 +143,7 @@
         threads += [
             threading.Thread(target=self.raise_counter, args=(i,), daemon=True) for i in range(RAISERS)
         ]
+        threads.append(threading.Thread(target=self.configure, daemon=True))
         watchers = [threading.Thread(target=self.watch, args=(i,), daemon=True) for i in range(WATCHERS)]
         for thread in [*threads, *watchers]:
             thread.start()
@@ -139,7 +159,7 @@
         return {
             "seconds": round(took, 1), "kills": self.kills, "pauses": self.pauses,
             "transfers": self.transfers, "writes": self.writes, "reads": self.reads,
-            "raises": sum(self.raised), "unknown": self.unknown,
+            "raises": sum(self.raised), "configurations": self.installed, "unknown": self.unknown,
             "watched": [len(s) for s in self.seen], "broken": self.broken[:20],
         }  # fmt: skip
 
@@ -159,9 +179,24 @@
         known, most = sum(self.raised), sum(self.raised) + self.unknown
         if not known <= counter <= most:
             say(f"the counter is {counter}; {known} raises were told, {most - known} are not known")
+        version, text, _ = current(store)
+        if version < self.versions or version > self.installed + self.maybe_installed:
+            say(f"configuration: version {version}; {self.versions} was told, {self.installed} were made")
+        for number in range(1, version + 1):
+            if problem(version_of(store, number)):
+                say(f"configuration: version {number} is not whole")
+        if version and version_of(store, version) != text:
+            say(f"configuration: what holds is not version {version}")
+        for process in self.cluster.all.values():
+            taken = f"configuration version {version} taken"
+            end = time.monotonic() + 10
+            while taken not in process.log() and time.monotonic() < end:
+                time.sleep(0.05)
+            if version and taken not in process.log():
+                say(f"{process.name} has not taken version {version}")
         images = {}
         for process in self.cluster.all.values():
-            rows = Asking([process.door], 10.0).ask("range", prefix="", most=1000, stale=True)
+            rows = Asking([process.door], 10.0).ask("range", prefix="w/", most=1000, stale=True)
             images[process.name] = json.dumps(rows["documents"])
         if len(set(images.values())) != 1:
             say("the members hold different documents")
