Tell those who wait, and write all that a member holds, in one place each

Found on reading the change again: three loops told the waiting clients of a command, and the host made up a member's records a second time. Behaviour is as it was. 77 tests of the store pass.

--- a/eiderpin/store/host.py
+++ b/eiderpin/store/host.py
@@ -127,10 +127,7 @@
             self.say("the store's disk is back")
             self.member.disk_is_back(self.loop.clock.now())
             return
-        m = self.member
-        entries = [e for e in m.raft.log.entries if e.index > m.raft.log.snapshot.index]
-        hard = Hard(m.raft.term, m.raft.vote)
-        self.log.try_again(list(whole(m.born, hard, m.raft.log.snapshot, entries)))
+        self.log.try_again(self.member.all_records())
         self.loop.deadlines.set(self.loop.clock.now() + TRY_AGAIN, self.look_again)
 
     def push(self) -> None:
--- a/eiderpin/store/member.py
+++ b/eiderpin/store/member.py
@@ -95,6 +95,10 @@
     until: float
     more: list[Done] = field(default_factory=list)
 
+    def tell(self, said: Answer | Exception) -> None:
+        for done in (self.done, *self.more):
+            done(said)
+
 
 class Member:
     """`send` gives a message to the wire, which may lose it. `now` is monotonic, in ms."""
@@ -134,12 +138,16 @@
         """What every first member of a new cluster begins with."""
         return Restored(born, Hard(), [Entry(1, 0, int(EntryKind.CONFIG), Config(voters).pack())])
 
-    def write_all(self) -> None:
-        """Have the disk hold all that we hold; a new member's first words."""
+    def all_records(self) -> list[Record]:
+        """All that we hold, as it is written."""
         log = self.raft.log
         hard = Hard(self.raft.term, self.raft.vote)
         entries = [e for e in log.entries if e.index > log.snapshot.index]
-        self.disk.checkpoint(records.whole(self.born, hard, log.snapshot, entries))
+        return list(records.whole(self.born, hard, log.snapshot, entries))
+
+    def write_all(self) -> None:
+        """Have the disk hold all that we hold."""
+        self.disk.checkpoint(self.all_records())
 
     # -- time and messages
 
@@ -342,9 +350,7 @@
     def _give_up(self, now: float) -> None:
         """On those who have waited for long enough."""
         for key in [k for k, w in self._commands.items() if w.until <= now]:
-            waiting = self._commands.pop(key)
-            for done in (waiting.done, *waiting.more):
-                done(Unavailable("no word of it in time"))
+            self._commands.pop(key).tell(Unavailable("no word of it in time"))
         for context in [c for c, o in self._orders.items() if o.until <= now]:
             self._orders.pop(context).done(Unavailable("it has not come to be in time, but may yet"))
         for context in [c for c, r in self._reads.items() if r.until <= now]:
@@ -445,8 +451,7 @@
             session = self.store.sessions.get(client)
             if client and session is not None and session.number == number:
                 del self._commands[client, number]
-                for done in (waiting.done, *waiting.more):
-                    done(session.answer)
+                waiting.tell(session.answer)
 
     def _apply(self, entry: Entry) -> None:
         self.applied = entry.index
@@ -460,8 +465,7 @@
         answer = self.store.apply(command)
         waiting = self._commands.pop((command.client, command.number), None)
         if waiting is not None:
-            for done in (waiting.done, *waiting.more):
-                done(answer)
+            waiting.tell(answer)
 
     def _serve_reads(self) -> None:
         later = []
