--- a/eiderpin/cli/config.py
+++ b/eiderpin/cli/config.py
@@ -13,9 +13,8 @@
 from eiderpin.cli.store import asking, door
 from eiderpin.configuration import ConfigError, read_shared
 from eiderpin.store.asking import Asking, Failed
+from eiderpin.store.names import CURRENT, PRESENT, VERSIONS
 
-CURRENT, VERSIONS = "config/current", "config/versions/"
-PRESENT = "dispatchers/"
 STAND_IN = {"name": "x", "listen": "127.0.0.1:0", "workers": []}  # for what is each dispatcher's own
 
 
--- a/eiderpin/cli/workers.py
+++ b/eiderpin/cli/workers.py
@@ -11,9 +11,9 @@
 from eiderpin.cli.store import asking, door
 from eiderpin.store import orders
 from eiderpin.store.asking import Asking, Failed
+from eiderpin.store.names import PRESENT
 from eiderpin.store.orders import Order
 
-PRESENT = "dispatchers/"
 TRIES = 20
 
 
--- a/eiderpin/outcomes.py
+++ b/eiderpin/outcomes.py
@@ -24,9 +24,9 @@
 from eiderpin.jobs.ledger import fingerprint
 from eiderpin.store import state
 from eiderpin.store.host import StoreHost
+from eiderpin.store.names import PRESENT
 
 PREFIX = "outcomes/"
-PRESENT = "dispatchers/"
 BUCKET = 30_000.0  # ms for which outcomes go under one lease
 CLAIM_WITHIN = 2000.0  # ms that a claim may take
 END_WITHIN = 1000.0  # ms that a result waits at most for its place in the store
--- a/eiderpin/shared_state.py
+++ b/eiderpin/shared_state.py
@@ -13,11 +13,10 @@
 from eiderpin.core.learned import Learned
 from eiderpin.store import hints, orders
 from eiderpin.store.host import StoreHost
+from eiderpin.store.names import CURRENT, PRESENT
 from eiderpin.store.raft import Refused
 from eiderpin.store.state import Answer, Compacted, Event, Grant, Keep, Operation, Put, Transaction
 
-PRESENT = "dispatchers/"
-CONFIG = "config/current"  # a line with the version, then its text
 LEASE = 5000.0  # ms after which a dispatcher that says nothing is no longer counted
 KEEP_EVERY = 1000.0
 WITHIN = 900.0
@@ -45,7 +44,7 @@
         self.told: dict[str, Any] = {}
         self.busy = False  # a command of ours is on its way
         self.follow(orders.PREFIX, self.ordered)
-        self.follow(CONFIG, self.configured)
+        self.follow(CURRENT, self.configured)
         self.follow(hints.PREFIX, self.hinted)
         if host.options.listen is not None:
             self.follow(PRESENT, self.met)
@@ -94,7 +93,7 @@
     # -- the configuration
 
     def configured(self, name: str, value: bytes | None) -> None:
-        """`CONFIG` itself is what holds; its versions are for those who go back."""
+        """`CURRENT` itself is what holds; its versions are for those who go back."""
         if name or value is None:
             return
         version, _, text = value.partition(b"\n")
