Move free jobs a worker does not start; send single shots where we were served

- A free job that a worker has not started 100 ms after its send waits behind other dispatchers' jobs, which our own count never shows.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -273,6 +273,11 @@
             scheduling.may_have_run = False
         self.counters.add(f"out.ended.{outcome.value}")
         flow = scheduling.flow
+        if log.isEnabledFor(logging.DEBUG):
+            fields = {"job": flow.wire_id or flow.unique, "attempt": scheduling.number,
+                      "worker": scheduling.entry.name, "outcome": outcome.value,
+                      "ms": round(self.clock.now() - scheduling.made_at, 1)}  # fmt: skip
+            log.debug("an attempt has ended", extra=fields)
         if flow.job and self.keeper is not None:
             self.keeper.released(scheduling, outcome)
         if outcome is api.Outcome.DONE and not flow.ended:
@@ -412,6 +417,9 @@
         timeout = left if action.timeout is None else min(left, action.timeout)
         scheduling = Scheduling(flow, len(flow.schedulings), entry, now, timeout)
         flow.schedulings.append(scheduling)
+        if log.isEnabledFor(logging.DEBUG):
+            fields = {"job": flow.wire_id or flow.unique, "attempt": scheduling.number, "worker": entry.name}
+            log.debug("an attempt is sent", extra=fields)
         if must(not flow.ended, "no send after the end"):
             self._expire(scheduling)
             if flow.job and self.keeper is not None:
--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -87,6 +87,9 @@
 FAULTY = 0.35  # ... from which on, so after two failures, it is not sent a job that must not run twice ...
 FAULT_MEMORY = 20.0  # ... until the fault has faded, with this many mean run times
 SPAN_MARGIN = 0.9  # share of a memory span in which a guarded repeat is still sent
+MOVE_LIMIT, LATE_GAIN = 0.2, 0.1  # share of late starts above which no job is moved for one; a start's weight
+PICKY = 0.2  # share of its aim in which a job that must not run twice, once failures are about, waits for ...
+TRUSTED = 0.1  # ... a worker that has served us within the fault memory and whose fault is below this
 
 
 # ---- workers and membership ----------------------------------------------------------------------------
@@ -148,7 +151,7 @@
         "name", "zone", "shape", "shape_name", "cell", "rating", "size", "born", "state", "ready", "out",
         "ours", "others", "others_at", "slow", "slow_at", "pace", "failures", "trial", "rest_until",
         "cold_until", "cold_spent", "pools", "ended", "classes", "known_slots", "heard", "shuns",
-        "beside", "beside_cold", "fault", "fault_at",
+        "beside", "beside_cold", "fault", "fault_at", "served_at",
     )  # fmt: skip
 
     def __init__(self, entry: WorkerEntry, shape: Shape) -> None:
@@ -168,6 +171,7 @@
         self.slow_at = 0.0
         self.failures = 0  # in a row
         self.fault = self.fault_at = 0.0  # how often attempts have failed here, lately
+        self.served_at = -math.inf  # when an attempt of ours last succeeded here
         self.trial = False  # back from a rest: one attempt at a time until one succeeds
         self.rest_until = 0.0
         self.cold_until = 0.0
@@ -229,7 +233,7 @@
 
     __slots__ = (
         "id", "spec", "deadline", "need", "work", "aim_at", "sends", "out", "risky", "streaming",
-        "avoid", "over", "hinted", "priority",
+        "avoid", "over", "hinted", "priority", "came",
     )  # fmt: skip
 
     def __init__(self, request: Request, spec: RequestClass, now: float, work: float) -> None:
@@ -238,6 +242,7 @@
         self.hinted = bool(request.hint)
         self.priority = request.priority
         self.deadline = now + request.expires_in
+        self.came = now
         self.need = max(request.slots, request.memory)
         self.work = work
         self.aim_at = now + min(spec.aim + spec.aim_stretch * work, request.expires_in)
@@ -374,11 +379,16 @@
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.expiry: list[tuple[float, int]] = []
         self.unstarted: deque[Attempt] = deque()  # in the order of their sends
+        self.unmoved: deque[Attempt] = deque()  # of jobs that may go elsewhere, in the order of their sends
         self.resting: list[tuple[float, str]] = []
         self.gathering: dict[Kind, Gathering] = {}
         self.gather = max(GATHER * min(c.aim for c in settings.classes), GATHER_TICKS * settings.tick)
         self.work: dict[str, float] = {}  # mean run or hint of a class
         self.slow_mean = 1.0  # run time over work, fleet-wide
+        self.failed_at = -math.inf  # when an attempt last failed, anywhere
+        self.late_share = 0.5  # of our jobs whose start was told START_LATE after their send, lately
+        self.trusted = Pool()  # ready workers where attempts of ours succeeded lately and none failed since
+        self.trust_ends: deque[tuple[float, str]] = deque()  # (success, worker) in their order
         self.pace = Pace()
         self.run_mean = max(min(c.aim for c in settings.classes), 1.0)  # mean run time, learned
         self.timer_at = math.inf
@@ -388,18 +398,11 @@
         self.ask_at = math.inf
         self.ask_backoff = 0.0
         self.handlers = {
-            Request: self.on_request,
-            AttemptEnded: self.on_ended,
-            Progress: self.on_progress,
-            Membership: self.on_membership,
-            RequestGone: self.on_gone,
-            StreamStarted: self.on_stream,
-            ProbeEnded: self.on_probed,
-            TimerFired: self.on_timer,
-            PeerMessage: self.on_peer,
-            Beside: self.on_beside,
-            Adopted: self.on_adopted,
-        }
+            Request: self.on_request, AttemptEnded: self.on_ended, Progress: self.on_progress,
+            Membership: self.on_membership, RequestGone: self.on_gone, StreamStarted: self.on_stream,
+            ProbeEnded: self.on_probed, TimerFired: self.on_timer, PeerMessage: self.on_peer,
+            Beside: self.on_beside, Adopted: self.on_adopted,
+        }  # fmt: skip
 
     def handle(self, now: float, events: Iterable[Event]) -> list[Action]:
         """Decide on one batch. `now` is the batch clock; it must not run backwards."""
@@ -419,6 +422,7 @@
         self.discovery()
         self.expire()
         self.find_silent()
+        self.move_queued()
         self.run_rounds()
         self.set_timer()
         return self.actions
@@ -541,6 +545,7 @@
                     pool.add(worker)
                 else:
                     pool.remove(worker)
+            self.trust(worker)
 
     def discovery(self) -> None:
         """Where the list must be asked for, keep one watch on it."""
@@ -747,6 +752,11 @@
             rested = self.workers.get(heapq.heappop(self.resting)[1])
             if rested is not None:
                 self.set_ready(rested)
+        memory = FAULT_MEMORY * self.run_mean
+        while self.trust_ends and self.trust_ends[0][0] < self.now - memory:
+            trusted = self.workers.get(self.trust_ends.popleft()[1])
+            if trusted is not None:
+                self.trust(trusted)
         for kind, waiting in list(self.gathering.items()):
             if waiting.fresh >= K or self.now >= waiting.due:
                 self.turn(kind, waiting)
@@ -821,12 +831,25 @@
         return job.aim_at - RUN_MARGIN * self.slow_mean * job.work
 
     def round(self, kind: Kind, jobs: list[Job]) -> list[Job]:
-        """One round of the paper's process; returns the jobs that it could not place."""
+        """One round of the paper's process; returns the jobs that it could not place.
+
+        Jobs that must not run twice and found no worker that has served us lately, while failures are about,
+        have a round of their own among those of the kind's workers.
+        """
         pool = self.pools.get(kind)
         if pool is None or not pool.items:
             return jobs
+        left = self.fill_round(pool.items, jobs)
+        picky = [j for j in left if j.spec.repeat is Repeat.SINGLE_SHOT and self.picky(j)]
+        trusted = [w for w in self.trusted.items if w.name in pool.place] if picky else []
+        if trusted:
+            held = set(map(id, self.fill_round(trusted, picky)))
+            left = [j for j in left if j not in picky or id(j) in held]
+        return left
+
+    def fill_round(self, items: list[Worker], jobs: list[Job]) -> list[Job]:
         need = max(j.need for j in jobs)
-        drawn = draw(self.rng, pool.items, draw_count(len(jobs)))
+        drawn = draw(self.rng, items, draw_count(len(jobs)))
         load = {w.name: self.load(w, need) for w in drawn}
         places = fill(self.rng, drawn, load, len(jobs))
         left = []
@@ -848,9 +871,43 @@
             and self.room(worker, job.need, self.latest_start(job) < self.now)
             and self.in_time(worker, job)
             and self.cold_allows(worker, job)
-            and (job.spec.repeat is not Repeat.SINGLE_SHOT or not self.faulty(worker))
+            and (job.spec.repeat is not Repeat.SINGLE_SHOT or self.sound(worker, job))
+        )
+
+    def sound(self, worker: Worker, job: Job) -> bool:
+        """Whether a job that must not run twice may go here: not where attempts fail often, and while it is
+        picky only where attempts of ours have succeeded lately."""
+        if self.faulty(worker):
+            return False
+        return worker.name in self.trusted.place or not self.picky(job)
+
+    def picky(self, job: Job) -> bool:
+        """Meeting each worker seldom, we learn too late that one is bad; but a failure anywhere shows that
+        bad ones are about. Then a job that must not run twice goes for a while only where attempts of ours
+        have succeeded lately, as a bad one's do less often; where there is no such worker, waiting finds
+        none."""
+        return (
+            self.now - self.failed_at <= FAULT_MEMORY * self.run_mean
+            and self.sparse()
+            and bool(self.trusted.items)
+            and self.now < job.came + PICKY * job.spec.aim
         )
 
+    def sparse(self) -> bool:
+        """Whether we meet each worker less than twice in the fault memory (by Little's law, from what we
+        hold): as one of many dispatchers, too seldom for what a worker does to us to show what it is."""
+        return self.ours * FAULT_MEMORY < 2.0 * self.in_service
+
+    def trust(self, worker: Worker) -> None:
+        """Keep the pool of workers that have served us lately, are ready and have not failed since."""
+        memory = FAULT_MEMORY * self.run_mean
+        trusted = worker.ready and self.now - worker.served_at <= memory and self.fault_of(worker) < TRUSTED
+        if trusted is not (worker.name in self.trusted.place):
+            if trusted:
+                self.trusted.add(worker)
+            else:
+                self.trusted.remove(worker)
+
     def faulty(self, worker: Worker) -> bool:
         """Whether attempts fail here so often that a job which cannot go elsewhere afterwards is kept away.
         Jobs that can find out when it is sound. Where many workers fail, it is not them: all are used."""
@@ -866,8 +923,14 @@
 
     def hear_fault(self, worker: Worker, failed: bool) -> None:
         fault = self.fault_of(worker)
+        if failed:
+            self.failed_at = self.now
+        else:
+            worker.served_at = self.now
+            self.trust_ends.append((self.now, worker.name))
         worker.fault = fault + FAULT_GAIN * (1.0 - fault) if failed else fault - SOUND_GAIN * fault
         worker.fault_at = self.now
+        self.trust(worker)
 
     def in_time(self, worker: Worker, job: Job) -> bool:
         """Whether the job would end within its aim here, or would not at typical speed either.
@@ -929,6 +992,8 @@
         worker.out[job.id, number] = attempt
         if self.s.tells_start:
             self.unstarted.append(attempt)
+            if job.spec.repeat is Repeat.FREE and self.s.may_cancel:
+                self.unmoved.append(attempt)
         worker.ours += job.need
         self.ours += job.need
         return attempt
@@ -996,6 +1061,8 @@
         self.hear(attempt, True)
         if event.started:
             attempt.started = self.now
+            late = self.now - attempt.sent > START_LATE
+            self.late_share += LATE_GAIN * (late - self.late_share)
             if self.learns_slots():
                 self.hear_start(attempt)
         elif event.share > 0:
@@ -1186,6 +1253,29 @@
             if again and (mute or attempt.lost):
                 self.actions.append(Cancel(job.id, attempt.number))
 
+    def move_queued(self) -> None:
+        """A job that may run again and has not started START_LATE after its send waits behind jobs of other
+        dispatchers, which our own count does not show; across a large fleet that is the common way to miss.
+        Where most of our jobs start at once, it goes elsewhere while it can still be in time there, and its
+        worker counts as full. Where most start late, all are full: moving would only churn."""
+        if self.late_share > MOVE_LIMIT or not self.sparse():
+            self.unmoved.clear()
+        while self.unmoved:
+            attempt = self.unmoved[0]
+            if not self.settled(attempt) and self.now < attempt.sent + START_LATE:
+                break
+            self.unmoved.popleft()
+            job, worker = attempt.job, attempt.worker
+            if self.settled(attempt) or attempt.lost or job.over or job.sends >= self.s.max_attempts:
+                continue
+            if self.latest_start(job) < self.now or len(self.everyone.items) <= len(job.avoid) + 1:
+                continue  # in time nowhere, or nowhere else to go: it may as well wait its turn here
+            if attempt.over:
+                worker.shape.misses += 1  # a trial of one slot more that found the worker full
+            self.observe(worker, self.slots(worker) + 1.0, 0.0)
+            self.late_share += LATE_GAIN * (1.0 - self.late_share)  # its start, if it comes, is not heard
+            self.actions.append(Cancel(job.id, attempt.number))
+
     def settled(self, attempt: Attempt) -> bool:
         """Whether there is nothing to find out of an attempt: it has started or ended."""
         return attempt.started >= 0 or (attempt.job.id, attempt.number) not in self.attempts
@@ -1211,6 +1301,8 @@
             due = min(due, self.expiry[0][0])
         if self.unstarted:
             due = min(due, self.unstarted[0].sent + SILENT)
+        if self.unmoved:
+            due = min(due, self.unmoved[0].sent + START_LATE)
         due = max(min(due, self.ask_at), self.now)
         if self.asked_at > -math.inf:
             due = min(due, self.asked_at + self.s.ask_within + self.s.tick)
