Begin the watch on discovery at the decisions' word where the list must be asked for

Ruled out: longer waits (20 s, 60 s) and asking for the whole list each 1 or 4 s: refused alike while others storm.

Change: on_request, a watch begins when the decisions say so, from the generation that 'known' names, so that only what changed is asked for; they hear of each answer and failure. A 5xx no longer voids what is known. Lists that come unasked are watched as before.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -39,6 +39,15 @@
         ...
 
 
+class ListSource(Protocol):
+    """A source of workers whose list has to be asked for."""
+
+    def watch(self) -> None:
+        """Begin a watch, unless one stands or is being asked for. Its answers, and its failure, come through
+        `Dispatcher.list_told`."""
+        ...
+
+
 class Dispatcher:
     """Owns all flows and service entries; hands each batch of events to the decisions."""
 
@@ -63,6 +72,7 @@
         self.ids_beside: set[str] = set()  # of jobs under way in the process beside us
         self.keeper: Keeper | None = None  # of durable jobs; None: there are none
         self.orders: WorkerOrders | None = None  # of the operators; None: there are none
+        self.source: ListSource | None = None  # None: lists come unasked
         self.outstanding = 0  # jobs taken and not ended
         self._events: list[api.Event] = []
         self._timers: dict[int, Deadline] = {}
@@ -405,6 +415,9 @@
             if entry is not None:
                 self.counters.add("out.probes")
                 entry.link.probe(entry)
+        elif isinstance(action, api.Watch) and action.on and self.source is not None:
+            self.counters.add("out.watches")
+            self.source.watch()
 
     def _send(self, action: api.Send) -> None:
         flow = self.flows.get(action.request)
--- a/eiderpin/net/discovery.py
+++ b/eiderpin/net/discovery.py
@@ -60,7 +60,14 @@
 
 
 class Discovery:
-    """Asks for the list, then watches it, for as long as the program runs."""
+    """Asks for the list, then watches it, for as long as the program runs.
+
+    Where the list must be asked for (`discovery` is "on_request", WIRE "KEEP_INFORMED"), one service of fixed
+    capacity answers all dispatchers. There a watch begins when the decisions say so, at the start and after
+    each failure, which they are told of; and it begins from the generation that is known, so that only what
+    has changed is asked for. Many dispatchers that asked again at once, for the whole list, would keep that
+    service so busy that it answers none of them.
+    """
 
     def __init__(
         self, loop: Loop, core: Dispatcher, link: WorkerLink, where: tuple[str, int], known: Any
@@ -70,10 +77,18 @@
         self.conn: Connection | None = None
         self.reader = http.ResponseReader()
         self.limit: Deadline | None = None
+        self.asking = False  # a call is out, or will be by `limit` without anybody's word
+        self.told = False  # discovery has answered us
+        self.on_request = core.settings.must_ask
+        if self.on_request:
+            core.source = self
         if known:
-            _, _, entries = read_list(known)
+            generation, _, entries = read_list(known)
             core.list_told(link, api.ListKind.STORED, entries)
-        self.ask()
+            if self.on_request:
+                self.generation = generation
+        if not known or not self.on_request:
+            self.ask()
 
     def move(self, where: tuple[str, int]) -> None:
         """Watch at another address from now on. Its generations are its own, so the whole list is asked for;
@@ -87,7 +102,13 @@
         self.conn = None
         self.ask()
 
+    def watch(self) -> None:
+        """The decisions want a watch to begin now; one that stands, or is being asked for, goes on."""
+        if not self.asking:
+            self.ask()
+
     def ask(self) -> None:
+        self.asking = True
         target = b"/catalog/members"
         wait = 0.0
         if self.generation is not None:
@@ -96,7 +117,7 @@
         if self.conn is None:
             self.conn = self.loop.connect(self.where)
             if self.conn is None:
-                self.limit = self.loop.deadlines.set(self.loop.clock.now() + PAUSE, self.ask)
+                self.failed()
                 return
             self.reader = http.ResponseReader()
             self.conn.on_data, self.conn.on_end = self.data, self.failed
@@ -109,11 +130,15 @@
         self.failed()
 
     def failed(self) -> None:
-        """The agent is silent, has closed or talks nonsense: ask again, on a new connection."""
+        """The agent is silent, has closed, has said no or talks nonsense: ask again, on a new connection."""
         self.loop.deadlines.drop(self.limit)
         if self.conn is not None:
             self.conn.close()
         self.conn = None
+        if self.on_request:
+            self.asking = False
+            self.core.list_told(self.link, api.ListKind.FAILED, ())
+            return
         self.limit = self.loop.deadlines.set(self.loop.clock.now() + PAUSE, self.ask)
 
     def data(self, data: bytes) -> None:
@@ -128,13 +153,15 @@
 
     def answered(self, message: http.Message) -> None:
         if message.status != 200:
-            self.generation = None
+            if message.status < 500:
+                self.generation = None  # it cannot make sense of ours; one that is too busy could
+            self.core.counters.add("in.discovery_refused")
             self.failed()
             return
         generation, whole, entries = read_list(orjson.loads(message.body))
         self.core.counters.add("in.lists")
-        self.generation = generation
-        if whole or entries:
+        self.generation, self.told = generation, True
+        if whole or entries or self.on_request:  # there an empty answer tells that the watch stands
             kind = api.ListKind.COMPLETE if whole else api.ListKind.CHANGES
             self.core.list_told(self.link, kind, entries)
         self.loop.deadlines.drop(self.limit)
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -214,7 +214,7 @@
         older = self.handover.older if self.handover is not None else None
         if older is None:
             return self.handover is None or self.handover.again is None
-        told = self.discovery is None or self.discovery.generation is not None
+        told = self.discovery is None or self.discovery.told
         can = told and older.sockets > 0
         return can or self.clock.now() > self.begun_at + LATEST_BEGIN
 
