Share a cold worker's budget among as many dispatchers as use it up between them

A part of a cold worker's budget is at least a job, so at 40 dispatchers 5 hold all of it, and each of those, with 3 requests a second, uses a third of its part: the old workers overflow while the new ones stand idle.

Change, decide.py cold_part: what one dispatcher uses of its part is estimated from its open jobs over the ready workers, times the draw's favour (d/k), in slot time a window; never taken to be under COLD_USE (a quarter). So many more hold a part, and the expected sum stays half of the budget, as before. Its error: a dispatcher cannot see that others are busier; one with several times the mean has fewer parts by its own count, so the sum stays bounded by the parts.

tests/test_fleet_rules.py: two cases; the first fails without the change.

--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -82,6 +82,7 @@
 SETTLED = 100.0  # ms; how long a start must lie back before it counts as running beside others: the end that
 # made room for it may be told on another connection, and after it
 TRIAL_MISSES = 3  # ... and so many such starts, or turn-downs, end the trials of one slot more
+COLD_USE = 0.25  # least part of its share of a cold worker's budget that a dispatcher is taken to use
 COLD_MARGIN = 0.5  # share of a cold worker's budget that is used; the rest is for chance and misjudged work
 FAULT_GAIN, SOUND_GAIN = 0.3, 0.1  # weight of a new failure, and of a new success, in a worker's fault ...
 FAULTY = 0.35  # ... from which on, so after two failures, it is not sent a job that must not run twice ...
@@ -726,19 +727,29 @@
 
         The budget over any window is multiple x present capacity x window for all dispatchers together. In
         slot time: slots x warmth is present capacity in running jobs. Where an even share is less than a
-        job, a fixed few of the instances, chosen by hash, hold the whole budget between them.
+        job, some of the instances, chosen by hash, hold the whole budget between them.
         """
         if worker.cold_until <= self.now:
             return True
+        cost = self.expected_run(worker, job) * job.need
+        since = self.now - self.s.cold_window
+        spent = worker.cold_spent = [x for x in worker.cold_spent if x[0] > since]
+        return sum(c for _, c in spent) + worker.beside_cold + cost <= self.cold_part(worker, cost)
+
+    def cold_part(self, worker: Worker, cost: float) -> float:
+        """Slot time that we alone may send a cold worker within the window, for a job of this cost; 0: none.
+
+        One that holds a part seldom has as many jobs for it: by what it holds open, over the ready workers
+        and the draw's favour, it uses `used` of it. So many more hold one, and the expected sum is the same.
+        """
         window = self.s.cold_window
         budget = COLD_MARGIN * self.s.cold_multiple * self.warmth(worker) * self.slots(worker) * window
-        cost = self.expected_run(worker, job) * job.need
-        holders = min(self.s.instances, max(1, int(budget / max(cost, self.run_mean))))
+        share = max(cost, self.run_mean)
+        holders = min(self.s.instances, max(1, int(budget / share)))
+        demand = len(self.jobs) * window * D_PER_JOB / max(len(self.everyone.items), 1)
+        used = min(1.0, max(COLD_USE, demand / share))
         rank = (crc32(worker.name.encode()) + self.s.instance) % self.s.instances
-        if rank >= holders:
-            return False
-        spent = worker.cold_spent = [x for x in worker.cold_spent if x[0] > self.now - window]
-        return sum(c for _, c in spent) + worker.beside_cold + cost <= budget / holders
+        return budget / holders if rank < holders / used else 0.0
 
     def expected_run(self, worker: Worker, job: Job) -> float:
         """Run time of a job on this worker when warm."""
--- a/tests/test_fleet_rules.py
+++ b/tests/test_fleet_rules.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from eiderpin import interface as api
-from eiderpin.decide import PICKY, SILENT, START_LATE
+from eiderpin.decide import COLD_MARGIN, PICKY, SILENT, START_LATE
 from tests.conftest import fleet, make_settings, sends
 from tests.test_lifecycle import Play
 
@@ -141,3 +141,38 @@
     assert where <= {"w5", "w9"}
     again = {sent_one(p, 1, "pay").worker for p in [play]}
     assert again == {"w9"}
+
+
+def cold_fleet(open_jobs: int, instances: int = 40) -> list[Play]:
+    """The dispatchers of one fleet with so many open jobs each, before forty workers that are all cold."""
+    plays = []
+    for i in range(instances):
+        settings = make_settings(tells_start=True, instances=instances, instance=i, cold_window=2000.0)
+        play = Play(settings, fleet(40, born=900.0))
+        for number in range(open_jobs):
+            play.do(api.Request(number, "read", 4000, hint=400.0))
+        plays.append(play)
+    return plays
+
+
+def holders(plays: list[Play], name: str) -> int:
+    return sum(p.d.cold_part(p.d.workers[name], 400.0) > 0 for p in plays)
+
+
+def test_dispatchers_with_few_jobs_share_a_cold_workers_budget_more_widely() -> None:
+    """Each uses little of a part that is at least a job: were the parts given to as many as fill the budget
+    between them, most of it would stand idle."""
+    few, many = cold_fleet(open_jobs=1), cold_fleet(open_jobs=200)
+    for name in ("w0", "w7", "w23"):
+        d, s = many[0].d, many[0].d.s
+        part = max(p.d.cold_part(p.d.workers[name], 400.0) for p in many)
+        capacity = d.warmth(d.workers[name]) * d.slots(d.workers[name])
+        whole = COLD_MARGIN * s.cold_multiple * capacity * s.cold_window
+        assert holders(many, name) * part <= whole + 1e-6
+        assert holders(few, name) == 4 * holders(many, name)
+
+
+def test_two_dispatchers_hold_a_cold_workers_budget_as_ever() -> None:
+    for open_jobs in (1, 200):
+        plays = cold_fleet(open_jobs, instances=2)
+        assert holders(plays, "w3") == 2
