Let the rigs share one HTTP reader, call-back loop and listener; drop a flag the watch had twice

Need: on reading the change again, the fleet rig parsed HTTP heads in three places and had its own copy of the call-back loop and of start and stop, all of which benchmarks/rig.py has; and Discovery.asking said what its connection says already (a call is out while there is one).

Change: rig.read_message, rig.tell and rig.Server serve HttpWorker, the fleet's Worker and its Discovery; the fleet's clients use rig.http_on (their time limit now covers the body too). Worker.stop, which nothing called, is gone. Discovery.watch looks at the connection. Behaviour of the program is as it was.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -32,8 +32,8 @@
 from pathlib import Path
 from typing import Any
 
-from benchmarks.fleet_world import BROKEN, SLACK, Discovery, Rules, Worker, clock
-from benchmarks.rig import ROOT, free_port
+from benchmarks.fleet_world import SLACK, Discovery, Rules, Worker, clock
+from benchmarks.rig import BROKEN, ROOT, Idle, free_port, http_on
 
 CLASSES = {  # name: (share of requests, aim ms, deadline ms, mean work s, repeat)
     "time-lookup": (0.6, 250.0, 7500.0, 0.12, "free"),
@@ -124,7 +124,7 @@
     dispatchers: list[Dispatcher] = field(default_factory=list)
     asked: list[Asked] = field(default_factory=list)
     samples: list[list[tuple[int, int]]] = field(default_factory=list)  # each second, per worker
-    idle: dict[int, list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]] = field(default_factory=dict)
+    idle: dict[int, Idle] = field(default_factory=dict)
     broken: list[str] = field(default_factory=list)
     events: list[str] = field(default_factory=list)
     began: float = 0.0
@@ -244,14 +244,10 @@
         reader, writer = pool.pop() if pool else await asyncio.wait_for(
             asyncio.open_connection("127.0.0.1", self.dispatchers[target].port), 1.0
         )  # fmt: skip
-        lines = [f"{method} {path} HTTP/1.1", "Host: front", f"Content-Length: {len(body)}"]
-        lines += [f"{n}: {v}" for n, v in headers.items()]
         try:
-            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
-            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), within)
-            fields = {n.lower(): v.strip() for n, _, v in
-                      (x.partition(":") for x in head.decode("latin-1").split("\r\n")[1:] if x)}  # fmt: skip
-            got = await reader.readexactly(int(fields.get("content-length", 0)))
+            status, got, fields = await asyncio.wait_for(
+                http_on(reader, writer, method, path, body, **headers), within
+            )
         except BaseException:
             writer.close()
             raise
@@ -259,7 +255,7 @@
             writer.close()
         else:
             pool.append((reader, writer))
-        return int(head.split(b" ")[1]), got
+        return status, got
 
     # -- the troubles
 
--- a/benchmarks/fleet_world.py
+++ b/benchmarks/fleet_world.py
@@ -21,8 +21,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-BROKEN = (OSError, EOFError, asyncio.IncompleteReadError)
-ENDED = (*BROKEN, asyncio.CancelledError)  # a server's connection at the end of the run
+from benchmarks import rig
+
+ENDED = (*rig.BROKEN, asyncio.CancelledError)  # a server's connection at the end of the run
+WAITS = (0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.5, 0.5, 0.5)  # s between the tries of a call-back
 SLACK = 0.05  # s: every time limit of the protocol is this much longer
 
 
@@ -67,28 +69,20 @@
     late_sends: list[str] = field(default_factory=list)  # jobs that came past a drain's grace
 
 
-async def read_request(reader: asyncio.StreamReader) -> tuple[str, str, dict[str, str], bytes]:
-    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-    method, target, _ = head[0].split(" ", 2)
-    headers = {n.lower(): v.strip() for n, _, v in (line.partition(":") for line in head[1:] if line)}
-    body = await reader.readexactly(int(headers.get("content-length", 0)))
-    return method, target, headers, body
-
-
 def response(status: int, body: bytes = b"", reason: str = "OK") -> bytes:
     return b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n\r\n" % (status, reason.encode(), len(body)) + body
 
 
-class Worker:
+class Worker(rig.Server):
     """One stand-in worker. `bad`: the share of its jobs that fail at once; `slow`: its run time multiple."""
 
     def __init__(
         self, name: str, zone: str, slots: int, rules: Rules, backs: dict[int, int], rng: random.Random,
         bad: float = 0.0, slow: float = 1.0, born: float = 0.0,
     ) -> None:  # fmt: skip
+        super().__init__()
         self.name, self.zone, self.slots, self.rules, self.backs = name, zone, slots, rules, backs
         self.rng, self.bad, self.slow, self.born = rng, bad, slow, born
-        self.port = 0
         self.lifecycle = "Ready"
         self.leaving_at: float | None = None  # when the list said it drains or is gone
         self.cut = False  # its machine is cut off: it says nothing, and takes no new connection
@@ -98,22 +92,8 @@
         self.costs = Costs()
         self.ran: Counter[str] = Counter()  # runs begun, by request id
         self.results: set[str] = set()  # what it gave as results
-        self.open: set[asyncio.StreamWriter] = set()
-        self.calls: dict[int, list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]] = {}
+        self.calls: dict[int, rig.Idle] = {}
         self.tasks: set[asyncio.Task[None]] = set()
-        self.server: asyncio.Server | None = None
-
-    async def start(self, port: int = 0) -> None:
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port, backlog=512)
-        self.port = self.server.sockets[0].getsockname()[1]
-
-    async def stop(self) -> None:
-        if self.server is not None:
-            self.server.close()
-        for writer in list(self.open):
-            writer.close()
-        for task in list(self.tasks):
-            task.cancel()
 
     def restart(self, now: float) -> None:
         """A new process: what it held is lost, and it begins cold."""
@@ -121,8 +101,7 @@
         self.queue.clear()
         self.running.clear()
         self.used = 0
-        for writer in list(self.open):
-            writer.close()
+        self.hang_up()
 
     # -- load
 
@@ -158,7 +137,8 @@
         self.costs.most_open = max(self.costs.most_open, len(self.open))
         with contextlib.suppress(*ENDED):
             while True:
-                method, target, headers, body = await read_request(reader)
+                first, headers, body = await rig.read_message(reader)
+                method, target, _ = first.split(" ", 2)
                 came = clock()
                 while self.cut:
                     await asyncio.sleep(0.05)  # silent: open connections stay open and say nothing
@@ -236,43 +216,20 @@
         back = self.backs.get(int(rid.split("-", 1)[0][1:]))
         if back is None:
             return
-        body = json.dumps({"id": rid, "from": self.name, **news}).encode()
-        request = (
-            b"POST /_jobs/news HTTP/1.1\r\nHost: w\r\nContent-Length: %d\r\n\r\n" % len(body) + body
-        )
-        for wait in (0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.5, 0.5, 0.5):
-            while self.cut:
-                await asyncio.sleep(0.05)
-            pool = self.calls.setdefault(back, [])
-            with contextlib.suppress(*BROKEN):
-                reader, writer = pool.pop() if pool else await asyncio.open_connection("127.0.0.1", back)
-                writer.write(request)
-                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-                length = next((int(v) for n, _, v in (x.partition(":") for x in head.split("\r\n"))
-                               if n.lower() == "content-length"), 0)  # fmt: skip
-                await reader.readexactly(length)
-                if head.split(" ")[1] in ("200", "204"):
-                    pool.append((reader, writer))
-                    return
-                writer.close()
-            await asyncio.sleep(wait)
-
-
-class Discovery:
+        news = {"id": rid, "from": self.name, **news}
+        await rig.tell(back, self.calls.setdefault(back, []), news, WAITS, lambda: self.cut)
+
+
+class Discovery(rig.Server):
     """The list at one address, with watches (PROTOCOL, "Discovery"); what it holds changes when told."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.generation = 1
         self.entries: dict[str, dict[str, Any]] = {}
         self.changes: list[tuple[int, dict[str, Any]]] = []
         self.changed = asyncio.Condition()
         self.asked = 0
-        self.port = 0
-        self.server: asyncio.Server | None = None
-
-    async def start(self) -> None:
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, backlog=512)
-        self.port = self.server.sockets[0].getsockname()[1]
 
     def entry(self, worker: Worker) -> dict[str, Any]:
         return {
@@ -300,7 +257,8 @@
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(*ENDED):
             while True:
-                _, target, _, _ = await read_request(reader)
+                first, _, _ = await rig.read_message(reader)
+                target = first.split(" ", 2)[1]
                 self.asked += 1
                 query = dict(p.split("=", 1) for p in target.partition("?")[2].split("&") if "=" in p)
                 after, wait = int(query.get("after", -1)), int(query.get("wait_ms", 0)) / 1000
--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -11,6 +11,7 @@
 import socket
 import subprocess
 import sys
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -19,6 +20,7 @@
 
 ROOT = Path(__file__).parent.parent
 BROKEN = (OSError, EOFError, asyncio.IncompleteReadError)
+Idle = list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]  # connections to one address, kept open
 
 
 def free_port() -> int:
@@ -102,6 +104,13 @@
         writer.close()
 
 
+async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
+    """A request's or an answer's first line, headers by lower-case name, and body."""
+    first, *lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    headers = {n.lower(): v.strip() for n, _, v in (line.partition(":") for line in lines if line)}
+    return first, headers, await reader.readexactly(int(headers.get("content-length", 0)))
+
+
 async def http_on(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter, method: str, path: str, body: bytes = b"",
     **headers: str,
@@ -109,9 +118,47 @@
     lines = [f"{method} {path} HTTP/1.1", "Host: bench", f"Content-Length: {len(body)}"]
     lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
     writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
-    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-    got = {n.lower(): v.strip() for n, _, v in (line.partition(":") for line in head[1:] if line)}
-    return int(head[0].split()[1]), await reader.readexactly(int(got.get("content-length", 0))), got
+    first, got, said = await read_message(reader)
+    return int(first.split()[1]), said, got
+
+
+async def tell(
+    back: int, idle: Idle, news: dict[str, Any], waits: tuple[float, ...], silent: Callable[[], bool]
+) -> None:
+    """A worker's call-back, tried until it is answered, at most once for each of `waits` (s between tries);
+    not while the worker is `silent`."""
+    body = json.dumps(news).encode()
+    for wait in waits:
+        while silent():
+            await asyncio.sleep(0.05)
+        with contextlib.suppress(*BROKEN):
+            reader, writer = idle.pop() if idle else await asyncio.open_connection("127.0.0.1", back)
+            status, _, _ = await http_on(reader, writer, "POST", "/_jobs/news", body)
+            if status in (200, 204):
+                idle.append((reader, writer))
+                return
+            writer.close()
+        await asyncio.sleep(wait)
+
+
+class Server:
+    """A stand-in that listens, and knows the connections that it has open."""
+
+    def __init__(self) -> None:
+        self.port = 0
+        self.server: asyncio.Server | None = None
+        self.open: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, backlog=512)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        raise NotImplementedError
+
+    def hang_up(self) -> None:
+        for writer in list(self.open):
+            writer.close()
 
 
 class RunLog:
@@ -128,29 +175,22 @@
         return self.path.read_text().split()
 
 
-class HttpWorker:
+class HttpWorker(Server):
     """Takes a job with a 202, and tells of its end at most ten times, until it is answered."""
 
     def __init__(
         self, name: str, log: RunLog, back: int, rng: random.Random, run: tuple[float, float]
     ) -> None:
+        super().__init__()
         self.name, self.log, self.back, self.rng, self.run = name, log, back, rng, run
-        self.port = 0
         self.tasks: set[asyncio.Task[None]] = set()
-        self.server: asyncio.Server | None = None
-        self.open: set[asyncio.StreamWriter] = set()
-        self.calls: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
-
-    async def start(self) -> None:
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
+        self.calls: Idle = []
 
     async def stop(self) -> None:
         """Close what is open, and wait for it: a task that is cancelled at the end makes asyncio complain."""
         if self.server is not None:
             self.server.close()
-        for writer in list(self.open):
-            writer.close()
+        self.hang_up()
         while self.open:
             await asyncio.sleep(0.01)
 
@@ -158,10 +198,8 @@
         self.open.add(writer)
         with contextlib.suppress(*BROKEN):
             while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-                got = {n.lower(): v.strip() for n, _, v in (x.partition(":") for x in head[1:] if x)}
-                await reader.readexactly(int(got.get("content-length", 0)))
-                if head[0].startswith("POST"):
+                first, got, _ = await read_message(reader)
+                if first.startswith("POST"):
                     job = got["req-id"]
                     self.log.note(job)
                     task = asyncio.create_task(self.work(job))
@@ -177,18 +215,8 @@
         if self.run[1]:
             await asyncio.sleep(self.rng.uniform(*self.run))
         news = {"id": job, "from": self.name, "state": "done", "result": f"ran {job}"}
-        body = json.dumps(news).encode()
-        for wait in (0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.5, 0.5, 0.5, 0.5):
-            with contextlib.suppress(*BROKEN):
-                reader, writer = (
-                    self.calls.pop() if self.calls else await asyncio.open_connection("127.0.0.1", self.back)
-                )
-                status, _, _ = await http_on(reader, writer, "POST", "/_jobs/news", body)
-                if status in (200, 204):
-                    self.calls.append((reader, writer))
-                    return
-                writer.close()
-            await asyncio.sleep(wait)
+        waits = (0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.5, 0.5, 0.5, 0.5)
+        await tell(self.back, self.calls, news, waits, lambda: False)
 
 
 class Gearman:
--- a/eiderpin/net/discovery.py
+++ b/eiderpin/net/discovery.py
@@ -77,7 +77,6 @@
         self.conn: Connection | None = None
         self.reader = http.ResponseReader()
         self.limit: Deadline | None = None
-        self.asking = False  # a call is out, or will be by `limit` without anybody's word
         self.told = False  # discovery has answered us
         self.on_request = core.settings.must_ask
         if self.on_request:
@@ -104,11 +103,10 @@
 
     def watch(self) -> None:
         """The decisions want a watch to begin now; one that stands, or is being asked for, goes on."""
-        if not self.asking:
+        if self.conn is None:
             self.ask()
 
     def ask(self) -> None:
-        self.asking = True
         target = b"/catalog/members"
         wait = 0.0
         if self.generation is not None:
@@ -136,7 +134,6 @@
             self.conn.close()
         self.conn = None
         if self.on_request:
-            self.asking = False
             self.core.list_told(self.link, api.ListKind.FAILED, ())
             return
         self.limit = self.loop.deadlines.set(self.loop.clock.now() + PAUSE, self.ask)
