Pass Idempotency-Key to workers unchanged, on every attempt and in every process

Change: a flow holds the key as its client spelt it, quotes included; so do a flow on its way to a new process and the ledger (a field at the end with a default, so older ledgers are read). Two such headers get a 400, as nobody could say which one counts. A value is stripped of blanks and tabs alone: Python's strip took no-break spaces too. What it takes up counts in the memory held for requests. The same key with another body is passed on as it is for classes that are not durable: the workers hold the memory of keys, and one dispatcher sees only its own part of the requests.

--- a/eiderpin/core/flows.py
+++ b/eiderpin/core/flows.py
@@ -121,6 +121,12 @@
     schedulings: list[Scheduling] = field(default_factory=list)  # all that were made, by number
     ended: bool = False
     share: float = 0.0  # done of it, as last told
+    idempotency_key: str | None = None  # as the client spelt it; workers see it so on every attempt
+
+    @property
+    def size(self) -> int:
+        """Bytes that a client sent for it, and that are held while it lasts."""
+        return len(self.body) + len(self.idempotency_key or "")
 
     def may_have_run(self) -> bool:
         return any(s.may_have_run for s in self.schedulings)
--- a/eiderpin/core/moves.py
+++ b/eiderpin/core/moves.py
@@ -31,6 +31,7 @@
     share: float
     schedulings: list[list[Any]]  # worker, ms ago, time-out, whether it may have run, whether it has ended
     standing: dict[str, Any]  # what the decisions know of it: an `api.Standing`
+    idempotency_key: str | None = None
 
 
 @dataclass(slots=True)
@@ -42,6 +43,7 @@
     target: str
     body: str
     left: float  # ms until its answer is due
+    idempotency_key: str | None = None
 
 
 def let_durable_go(core: Dispatcher, flow: Flow) -> list[tuple[Waits, EdgeSide]]:
@@ -49,8 +51,9 @@
     for it."""
     now = core.clock.now()
     waits = Waits(
-        flow.cls, flow.unique, flow.target.decode("latin-1"), flow.body.decode("latin-1"), flow.deadline - now
-    )
+        flow.cls, flow.unique, flow.target.decode("latin-1"), flow.body.decode("latin-1"),
+        flow.deadline - now, flow.idempotency_key,
+    )  # fmt: skip
     waiters = list(flow.waiters)
     core.let_go(flow)
     core.tell(api.RequestGone(flow.id))
@@ -63,7 +66,7 @@
         raise ValueError("no such job")
     return Flow(
         waits.cls, waits.unique, waits.target.encode("latin-1"), waits.body.encode("latin-1"),
-        core.clock.now() + float(waits.left),
+        core.clock.now() + float(waits.left), idempotency_key=waits.idempotency_key,
     )  # fmt: skip
 
 
@@ -84,7 +87,7 @@
         flow.deadline - now, flow.slots, flow.memory, flow.tenant, flow.key, flow.hint,
         flow.client_retry, flow.priority, flow.wire_id, flow.share,
         [[s.entry.name, now - s.made_at, s.timeout, s.may_have_run, s.ended] for s in flow.schedulings],
-        asdict(standing),
+        asdict(standing), flow.idempotency_key,
     )  # fmt: skip
     core.let_go(flow)
     return moved
@@ -102,6 +105,7 @@
         moved.cls, moved.unique, moved.target.encode("latin-1"), moved.body.encode("latin-1"),
         now + moved.left, moved.slots, moved.memory, moved.tenant, moved.key, moved.hint,
         moved.client_retry, moved.priority, once=True, wire_id=moved.wire_id, share=moved.share,
+        idempotency_key=moved.idempotency_key,
     )  # fmt: skip
     for number, (name, ago, timeout, may_have_run, ended) in enumerate(moved.schedulings):
         entry = core.entries[name]
--- a/eiderpin/jobs/keeper.py
+++ b/eiderpin/jobs/keeper.py
@@ -156,6 +156,7 @@
             now, number, flow.cls, flow.unique, flow.wire_id, flow.target, flow.body, flow.deadline +
             self.ahead,
             flow.slots, flow.memory, flow.tenant, flow.key, flow.hint, flow.priority, flow.background,
+            idempotency_key=flow.idempotency_key,
         )  # fmt: skip
         if self.failed:
             return False
--- a/eiderpin/jobs/records.py
+++ b/eiderpin/jobs/records.py
@@ -41,6 +41,7 @@
     priority: int = 0
     background: bool = False
     ended_print: bytes = b""  # in checkpoints, of jobs that have ended: of target and body, which are gone
+    idempotency_key: str | None = None  # as its client spelt it
 
 
 class Leased(msgspec.Struct, array_like=True, frozen=True, gc=False):
--- a/eiderpin/jobs/recovery.py
+++ b/eiderpin/jobs/recovery.py
@@ -46,6 +46,7 @@
     flow = Flow(
         a.cls, a.unique, a.target, a.body, max(a.deadline - keeper.ahead, soonest), a.slots, a.memory,
         a.tenant, a.key, a.hint, priority=a.priority, background=True, job=a.job, wire_id=a.wire_id,
+        idempotency_key=a.idempotency_key,
     )  # fmt: skip
     for lease in job.leases:
         entry = _entry_of(core, workers, lease)
--- a/eiderpin/net/edge.py
+++ b/eiderpin/net/edge.py
@@ -323,7 +323,7 @@
 
     def may_hold(self, edge: EdgeConnection) -> bool:
         """Count what a connection holds of requests; whether all may hold as much together."""
-        body = len(edge.flow.body) if edge.flow is not None else 0
+        body = edge.flow.size if edge.flow is not None else 0
         held = edge.reader.held + body + sum(len(m.body) for m in edge.waiting)
         grown = held > edge.held
         self.held += held - edge.held
@@ -504,4 +504,5 @@
         hint=hint / 1000.0 if hint else None,
         client_retry=h.get("req-retry") == "1",
         once=named is None,
+        idempotency_key=h.get("idempotency-key"),
     )
--- a/eiderpin/net/http.py
+++ b/eiderpin/net/http.py
@@ -14,7 +14,7 @@
 MOST_ON_THE_WIRE = 8 * MOST_BODY  # of one message: chunks may be tiny, and their extensions long
 TARGET = re.compile(rb"[!-\"$-~]+")  # what any worker can read: visible ASCII and no fragment
 # Headers that we act on: a second one would leave open which of them counts.
-ONCE = ("host", "content-length", "transfer-encoding", "expect")
+ONCE = ("host", "content-length", "transfer-encoding", "expect", "idempotency-key")
 
 REASONS = {
     100: "Continue", 200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
@@ -83,7 +83,7 @@
         self._fields += 1
         if self._head > MOST_HEAD or self._fields > MOST_FIELDS:
             raise BadMessage(431, "the head is over 32 KiB or 100 fields")
-        key, text = name.decode("latin-1").lower(), value.decode("latin-1").strip()
+        key, text = name.decode("latin-1").lower(), value.decode("latin-1").strip(" \t")
         if key in self._message.headers and (key in ONCE or key.startswith("req-")):
             raise BadMessage(400, f"{key} is given twice")
         self._message.headers[key] = text
--- a/eiderpin/net/workers.py
+++ b/eiderpin/net/workers.py
@@ -178,7 +178,11 @@
         """The request, as it is written now."""
         flow = scheduling.flow
         left = max(1, int(scheduling.made_at + scheduling.timeout - self.core.clock.now()))
-        headers = (f"Host: {self.host}", f"Req-Id: {flow.wire_id}", f"Req-Deadline-Ms: {left}")
+        headers: tuple[str, ...] = (
+            f"Host: {self.host}", f"Req-Id: {flow.wire_id}", f"Req-Deadline-Ms: {left}",
+        )  # fmt: skip
+        if flow.idempotency_key is not None:
+            headers += (f"Idempotency-Key: {flow.idempotency_key}",)
         return http.request("POST", flow.target, headers, flow.body)
 
     def cancel(self, scheduling: Scheduling) -> None:
