Place jobs in their own zone by price, count told starts, shares and load reports

Ruled out: crossing delay (0.5 ms), CPU (1.2 of 15 ms a second), memory (under the slots in 99 of 100 jobs).

Our zone is part of a round's kind until waiting there costs more than crossing; requests beyond a tenant's share wait behind the rest; a worker where an attempt of ours has waited 60 ms for its start is full; drawn workers that fill up are probed each 200 ms and GET /_load is read, as are reports in answers; starts tell slots where reports would, noisily. Keyed jobs are repeated in group and window after a silence; an overtaken job counts as lost only where it should have started first (backfill: the same class, no more room); an answered probe shows life; a worker on trial waits for what was sent there in the last 2 s alone, so a job that it lost no longer keeps it out.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -271,10 +271,11 @@
         self.counters.add("out.schedulings")
 
     def ended(
-        self, scheduling: Scheduling, outcome: api.Outcome, result: bytes = b"", stale: bool = False
-    ) -> None:
+        self, scheduling: Scheduling, outcome: api.Outcome, result: bytes = b"", stale: bool = False,
+        report: api.Report | None = None,
+    ) -> None:  # fmt: skip
         """How a scheduling ended; a first result goes to those who wait. `stale`: for a connection that had
-        stood idle, which says nothing of the worker."""
+        stood idle, which says nothing of the worker. `report`: the load that its worker told with it."""
         if scheduling.ended:
             return
         scheduling.ended = True
@@ -295,7 +296,7 @@
         self._events.append(
             api.AttemptEnded(
                 flow.id, scheduling.number, scheduling.entry.name, outcome,
-                self.clock.now() - scheduling.made_at, flow.ended, stale=stale,
+                self.clock.now() - scheduling.made_at, flow.ended, report, stale,
             )
         )  # fmt: skip
         self._release(flow)
@@ -320,8 +321,11 @@
         for waiter in scheduling.flow.waiters:
             waiter.data_part(scheduling.flow, data, warning)
 
-    def probed(self, entry: ServiceEntry, ok: bool, elapsed: float) -> None:
-        self._events.append(api.ProbeEnded(entry.name, ok, elapsed))
+    def probed(
+        self, entry: ServiceEntry, ok: bool, elapsed: float, report: api.Report | None = None
+    ) -> None:
+        self.counters.add("out.probe.answered" if ok else "out.probe.failed")
+        self._events.append(api.ProbeEnded(entry.name, ok, elapsed, report))
 
     # -- with an older or a newer process beside us
 
--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -16,39 +16,7 @@
 from collections.abc import Iterable
 from zlib import crc32
 
-from eiderpin.interface import (
-    Action,
-    Adopted,
-    AttemptEnded,
-    Beside,
-    Cancel,
-    Event,
-    Facts,
-    Fail,
-    ListKind,
-    Membership,
-    Outcome,
-    PeerMessage,
-    Probe,
-    ProbeEnded,
-    Progress,
-    Refuse,
-    Repeat,
-    Report,
-    Request,
-    RequestClass,
-    RequestGone,
-    Scope,
-    Send,
-    SetTimer,
-    Settings,
-    Standing,
-    StreamStarted,
-    TimerFired,
-    Watch,
-    WorkerEntry,
-    WorkerState,
-)
+from eiderpin import interface as api
 
 # ---- constants -----------------------------------------------------------------------------------------
 
@@ -56,11 +24,11 @@
 D_PER_JOB = 2  # workers drawn for each job of a round; Park's heavy-load bound holds from 2 on
 GATHER = 0.03  # how long a round gathers, as a share of the shortest aim ...
 GATHER_TICKS = 2  # ... and at least this many ticks
-REPORT_AGE = 500.0  # ms; how old a report is taken to be when it comes: our own sends since then count on top
+REPORT_AGE = 150.0  # ms; how old a report is taken to be when it comes: our own sends since then count on top
+REPORT_EVERY = 200.0  # ms between probes of a worker that a round has drawn, where they bring reports ...
+REPORT_FROM = 0.5  # ... and where what we hold there, with one more job, is over this share of its slots
 FADE = 1.0  # an observation of others' load fades with this many mean run times
-MEAN_LIMIT = 0.4  # others are not taken to hold more than this share of a worker that was not seen lately
-GUESS_LIMIT = 0.15  # and no more than this where no report tells of them: their load is then our own guess
-SEEN_GAIN = 0.02  # weight of a new report in the fleet's mean
+GUESS_LIMIT = 0.15  # others are not taken to hold more than this share of a worker that was not seen lately
 SPEED_GAIN = 0.25  # weight of a new run in a worker's own speed
 SHAPE_GAIN = 0.05  # and in that of its shape and in a class's mean
 SPEED_MEMORY = 8.0  # a worker's own slowness fades with this many mean run times, so it is tried again
@@ -68,6 +36,7 @@
 OVERDUE = 2.5  # an attempt out this many times longer than expected makes its worker look worse
 REST = 1.0  # first rest of a failing worker, in mean run times; doubles with each failure in a row ...
 REST_LIMIT = 4  # ... up to this many doublings
+TRIAL = 2000.0  # ms for which a worker back from a rest, on trial, is sent nothing beside an attempt
 SHUN = 2.0  # mean run times for which a worker is first not sent a class that it did not tell of
 KEEP_SHARE = 0.25  # never let failing workers' rests leave less than this share of the fleet to draw from
 RUN_MARGIN = 1.2  # a job is taken to run this many times longer than expected when its latest start is set
@@ -77,6 +46,7 @@
 FULL_ROUNDS = 2  # this many rounds in a row that place nothing end the turn: there is no room to be found
 SLOTS_GUESS = 4.0  # slots of a worker where neither ratings nor reports tell ...
 START_LATE = 100.0  # ms; ... a start that comes later than this shows a worker that was full ...
+QUEUED = 60.0  # ms; ... and an attempt whose start was not told by then, one that is full
 SILENT = 600.0  # ms without a start, where starts are told, after which an attempt is taken to be lost
 APART = 100.0  # ms; sends further apart than this reach their worker in their order
 SETTLED = 100.0  # ms; how long a start must lie back before it counts as running beside others: the end that
@@ -88,7 +58,9 @@
 FAULTY = 0.35  # ... from which on, so after two failures, it is not sent a job that must not run twice ...
 FAULT_MEMORY = 20.0  # ... until the fault has faded, with this many mean run times
 SPAN_MARGIN = 0.9  # share of a memory span in which a guarded repeat is still sent
-MOVE_LIMIT, LATE_GAIN = 0.2, 0.1  # share of late starts above which no job is moved for one; a start's weight
+TENANT_BURST = 2000.0  # ms; a tenant may send this long a part of its share at once
+CROSS_STAKE = 2.0  # what a job may lose by waiting counts so often against the price of crossing zones: in
+# the whole, and again in a bad stretch and for the class that fares worst, which are made of such losses
 PICKY = 0.2  # share of its aim in which a job that must not run twice, once failures are about, waits for ...
 TRUSTED = 0.1  # ... a worker that has served us within the fault memory and whose fault is below this
 
@@ -120,13 +92,12 @@
 class Shape:
     """What is learned of one kind of machine."""
 
-    __slots__ = ("slots", "slow", "pace", "asked", "step", "steps", "misses")
+    __slots__ = ("slots", "slow", "pace", "step", "steps", "misses")
 
     def __init__(self) -> None:
         self.slots = 0.0  # slots of one worker, 0 until a report shows it
         self.slow = 1.0  # run time over expected work
         self.pace = Pace()
-        self.asked = False  # a probe is out that may show the slots
         self.step = 0.0  # requests per core of a worker that holds one: 1 / cores
         self.steps = 0
         self.misses = 0  # trials of one slot more that found the worker full
@@ -152,10 +123,10 @@
         "name", "zone", "shape", "shape_name", "cell", "rating", "size", "born", "state", "ready", "out",
         "ours", "others", "others_at", "slow", "slow_at", "pace", "failures", "trial", "rest_until",
         "cold_until", "cold_spent", "pools", "ended", "classes", "known_slots", "heard", "shuns",
-        "beside", "beside_cold", "fault", "fault_at", "served_at",
+        "beside", "beside_cold", "fault", "fault_at", "served_at", "asked_at",
     )  # fmt: skip
 
-    def __init__(self, entry: WorkerEntry, shape: Shape) -> None:
+    def __init__(self, entry: api.WorkerEntry, shape: Shape) -> None:
         self.name, self.zone, self.cell = entry.name, entry.zone, entry.cell
         self.shape_name = entry.shape
         self.shape = shape
@@ -175,6 +146,7 @@
         self.served_at = -math.inf  # when an attempt of ours last succeeded here
         self.trial = False  # back from a rest: one attempt at a time until one succeeds
         self.rest_until = 0.0
+        self.asked_at = -math.inf  # for a report
         self.cold_until = 0.0
         self.cold_spent: list[tuple[float, float]] = []  # (when, slot time) sent while cold, newest window
         self.pools: list[Pool] = []
@@ -234,10 +206,10 @@
 
     __slots__ = (
         "id", "spec", "deadline", "need", "work", "aim_at", "sends", "out", "risky", "streaming",
-        "avoid", "over", "hinted", "priority", "came",
+        "avoid", "over", "hinted", "priority", "came", "slack", "home", "scale",
     )  # fmt: skip
 
-    def __init__(self, request: Request, spec: RequestClass, now: float, work: float) -> None:
+    def __init__(self, request: api.Request, spec: api.RequestClass, now: float, work: float) -> None:
         self.id = request.id
         self.spec = spec
         self.hinted = bool(request.hint)
@@ -253,6 +225,9 @@
         self.avoid: set[str] = set()
         self.streaming = False
         self.over = False
+        self.home = True  # placed in our own zone alone, where crossing has a price
+        self.slack = 0.0  # ms for which it could wait when it came, and still be in time
+        self.scale = 1.0  # what is left of its worth: less where its tenant is beyond its share
 
     def anchor(self) -> Attempt | None:
         """The earliest attempt that may have run or is still out; it binds what may be done next."""
@@ -263,40 +238,45 @@
 # What each class may do once an attempt may have run (or is still out): whether another send is allowed at
 # all, and whether a refusal (which calls a retry harmless) is. Before that, everything is allowed to all.
 # A guarded class's sends stay within its scope and memory span, and only a scope of all lets it refuse.
-AFTER_RISK: dict[Repeat, tuple[bool, bool]] = {
-    Repeat.FREE: (True, True),
-    Repeat.GUARDED: (True, False),
-    Repeat.SINGLE_SHOT: (False, False),
+AFTER_RISK: dict[api.Repeat, tuple[bool, bool]] = {
+    api.Repeat.FREE: (True, True),
+    api.Repeat.GUARDED: (True, False),
+    api.Repeat.SINGLE_SHOT: (False, False),
 }
 
 
-def may_send(job: Job, settings: Settings, now: float) -> bool:
+def may_send(job: Job, settings: api.Settings, now: float) -> bool:
     """Whether the rules let another attempt go out now, somewhere."""
     if job.over or job.streaming or job.sends >= settings.max_attempts:
         return False
     if job.out and not settings.parallel_attempts:
         return False
+    return may_repeat(job, now)
+
+
+def may_repeat(job: Job, now: float) -> bool:
+    """Whether its class lets a job that may have run, or may yet, go out again now."""
     anchor = job.anchor()
     if anchor is None:
         return True
     if not AFTER_RISK[job.spec.repeat][0]:
         return False
-    return job.spec.repeat is Repeat.FREE or now <= anchor.sent + SPAN_MARGIN * job.spec.memory_span
+    return job.spec.repeat is api.Repeat.FREE or now <= anchor.sent + SPAN_MARGIN * job.spec.memory_span
 
 
 def may_refuse(job: Job) -> bool:
     if job.anchor() is None:
         return True
-    guarded_by_all = job.spec.repeat is Repeat.GUARDED and job.spec.scope is Scope.ALL
+    guarded_by_all = job.spec.repeat is api.Repeat.GUARDED and job.spec.scope is api.Scope.ALL
     return AFTER_RISK[job.spec.repeat][1] or guarded_by_all
 
 
-def round_kind(job: Job, by_class: bool) -> Kind:
-    """Which workers a job's round may draw from."""
+def round_kind(job: Job, by_class: bool, home: str | None) -> Kind:
+    """Which workers a job's round may draw from; `home` is the zone that it is not to leave yet."""
     anchor, cls = job.anchor(), job.spec.name if by_class else None
-    if anchor is None or job.spec.repeat is not Repeat.GUARDED or job.spec.scope is Scope.ALL:
-        return (job.spec.shape, None, None, cls)
-    if job.spec.scope is Scope.ZONE:
+    if anchor is None or job.spec.repeat is not api.Repeat.GUARDED or job.spec.scope is api.Scope.ALL:
+        return (job.spec.shape, home, None, cls)
+    if job.spec.scope is api.Scope.ZONE:
         return (job.spec.shape, anchor.worker.zone, None, cls)
     return (job.spec.shape, None, anchor.worker.cell, cls)
 
@@ -360,34 +340,37 @@
 class Dispatcher:
     """One dispatcher. `handle` takes the events of one batch and returns the actions that answer them."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: api.Settings, seed: int) -> None:
         settings.check()
         self.s = settings
         self.rng = random.Random(seed)
         self.now = 0.0
-        self.actions: list[Action] = []
+        self.actions: list[api.Action] = []
         self.classes = {c.name: c for c in settings.classes}
         self.workers: dict[str, Worker] = {}
         self.shapes: dict[str, Shape] = {}
+        # By tenant: requests that are left of its share, when that was so, and how many come back each ms.
+        self.shares = {
+            t.name: (0.0, 0.0, t.allowance_per_s / 1000.0 / settings.instances)
+            for t in settings.tenants if t.allowance_per_s > 0
+        }
         self.pools: dict[Kind, Pool] = {}
         self.everyone = self.pools[None, None, None, None] = Pool()
         self.by_class = False  # some worker runs certain classes only, so rounds gather by class
         self.in_service = 0
         self.slots_in_service = 0.0
         self.ours = 0.0  # slots committed by us, everywhere
-        self.seen = -1.0  # mean share of a worker's slots that others hold, by reports; -1: none yet
         self.jobs: dict[int, Job] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.expiry: list[tuple[float, int]] = []
         self.unstarted: deque[Attempt] = deque()  # in the order of their sends
-        self.unmoved: deque[Attempt] = deque()  # of jobs that may go elsewhere, in the order of their sends
         self.resting: list[tuple[float, str]] = []
         self.gathering: dict[Kind, Gathering] = {}
         self.gather = max(GATHER * min(c.aim for c in settings.classes), GATHER_TICKS * settings.tick)
         self.work: dict[str, float] = {}  # mean run or hint of a class
+        self.worth_mean = 0.0  # what a request is worth, in time
         self.slow_mean = 1.0  # run time over work, fleet-wide
         self.failed_at = -math.inf  # when an attempt last failed, anywhere
-        self.late_share = 0.5  # of our jobs whose start was told START_LATE after their send, lately
         self.trusted = Pool()  # ready workers where attempts of ours succeeded lately and none failed since
         self.trust_ends: deque[tuple[float, str]] = deque()  # (success, worker) in their order
         self.pace = Pace()
@@ -399,13 +382,13 @@
         self.ask_at = math.inf
         self.ask_backoff = 0.0
         self.handlers = {
-            Request: self.on_request, AttemptEnded: self.on_ended, Progress: self.on_progress,
-            Membership: self.on_membership, RequestGone: self.on_gone, StreamStarted: self.on_stream,
-            ProbeEnded: self.on_probed, TimerFired: self.on_timer, PeerMessage: self.on_peer,
-            Beside: self.on_beside, Adopted: self.on_adopted,
+            api.Request: self.on_request, api.AttemptEnded: self.on_ended, api.Progress: self.on_progress,
+            api.Membership: self.on_membership, api.RequestGone: self.on_gone, api.Beside: self.on_beside,
+            api.StreamStarted: self.on_stream, api.ProbeEnded: self.on_probed, api.Adopted: self.on_adopted,
+            api.TimerFired: self.on_timer, api.PeerMessage: self.on_peer,
         }  # fmt: skip
 
-    def handle(self, now: float, events: Iterable[Event]) -> list[Action]:
+    def handle(self, now: float, events: Iterable[api.Event]) -> list[api.Action]:
         """Decide on one batch. `now` is the batch clock; it must not run backwards."""
         if not now >= self.now and self.now:
             raise ValueError(f"the clock ran backwards, from {self.now} to {now}")
@@ -423,40 +406,39 @@
         self.discovery()
         self.expire()
         self.find_silent()
-        self.move_queued()
         self.run_rounds()
         self.set_timer()
         return self.actions
 
     # -- membership
 
-    def on_membership(self, event: Membership) -> None:
-        if event.kind is not ListKind.STORED and self.s.must_ask:
+    def on_membership(self, event: api.Membership) -> None:
+        if event.kind is not api.ListKind.STORED and self.s.must_ask:
             self.asked_at = -math.inf
-            if event.kind is ListKind.FAILED:
+            if event.kind is api.ListKind.FAILED:
                 self.watching = False
                 base = max(self.ask_backoff, self.s.ask_within / 20)
                 self.ask_at = self.now + base * (0.5 + self.rng.random())
                 self.ask_backoff = min(2 * base, self.s.ask_within / 2)
             else:
                 self.watching, self.ask_at, self.ask_backoff = True, math.inf, 0.0
-        if event.kind is ListKind.FAILED:
+        if event.kind is api.ListKind.FAILED:
             return
         for entry in event.entries:
             self.learn_entry(entry)
-        if event.kind is not ListKind.CHANGES:
+        if event.kind is not api.ListKind.CHANGES:
             named = {e.name for e in event.entries}
             for worker in list(self.workers.values()):
                 if worker.name not in named:
-                    self.set_state(worker, WorkerState.GONE)
+                    self.set_state(worker, api.WorkerState.GONE)
                     self.forget(worker)
 
-    def learn_entry(self, entry: WorkerEntry) -> None:
+    def learn_entry(self, entry: api.WorkerEntry) -> None:
         worker = self.workers.get(entry.name)
         if worker is None:
             shape = self.shapes.setdefault(entry.shape, Shape())
             worker = self.workers[entry.name] = Worker(entry, shape)
-            worker.state = WorkerState.GONE
+            worker.state = api.WorkerState.GONE
             if entry.classes is not None and not self.by_class:
                 self.gather_by_class()
             self.place(worker)
@@ -465,7 +447,7 @@
             self.place(worker)
         if entry.slots != worker.known_slots:
             before, worker.known_slots = self.slots(worker), entry.slots
-            if worker.state is WorkerState.IN_SERVICE:
+            if worker.state is api.WorkerState.IN_SERVICE:
                 self.slots_in_service += self.slots(worker) - before
         if entry.born and entry.born != worker.born:
             # A new process: what was learned of the old one is void, and it starts cold.
@@ -481,7 +463,7 @@
     def place(self, worker: Worker) -> None:
         """Put a worker into the pools of what it runs: those of its class are drawn from once some worker
         runs certain classes only."""
-        ready, serving = worker.ready, worker.state is WorkerState.IN_SERVICE
+        ready, serving = worker.ready, worker.state is api.WorkerState.IN_SERVICE
         classes: list[str | None] = [None]
         if self.by_class:
             classes += [c for c in self.classes if worker.classes is None or c in worker.classes]
@@ -510,7 +492,7 @@
     def forget(self, worker: Worker) -> None:
         """A worker that named its classes is one connection of a front: it never comes back by that name, and
         kept for good such names would pile up."""
-        gone = worker.state is WorkerState.GONE and worker.classes is not None
+        gone = worker.state is api.WorkerState.GONE and worker.classes is not None
         if gone and not worker.out and self.workers.get(worker.name) is worker:
             del self.workers[worker.name]
 
@@ -522,9 +504,9 @@
             worker.shape.hear_live(per_core)
             self.observe(worker, per_core * self.slots(worker), REPORT_AGE)
 
-    def set_state(self, worker: Worker, state: WorkerState) -> None:
+    def set_state(self, worker: Worker, state: api.WorkerState) -> None:
         if worker.state is not state:
-            change = (state is WorkerState.IN_SERVICE) - (worker.state is WorkerState.IN_SERVICE)
+            change = (state is api.WorkerState.IN_SERVICE) - (worker.state is api.WorkerState.IN_SERVICE)
             worker.state = state
             self.in_service += change
             self.slots_in_service += change * self.slots(worker)
@@ -535,9 +517,9 @@
     def set_ready(self, worker: Worker) -> None:
         """Put a worker into the pools that rounds draw from, or take it out."""
         ready = (
-            worker.state is WorkerState.IN_SERVICE
+            worker.state is api.WorkerState.IN_SERVICE
             and worker.rest_until <= self.now
-            and not (worker.trial and worker.out)
+            and not (worker.trial and any(a.sent > self.now - TRIAL for a in worker.out.values()))
         )
         if ready is not worker.ready:
             worker.ready = ready
@@ -555,7 +537,7 @@
         if self.asked_at > -math.inf and self.now - self.asked_at > self.s.ask_within:
             self.asked_at, self.ask_at = -math.inf, self.now  # the answer never came
         if self.now >= self.ask_at and self.asked_at == -math.inf:
-            self.actions.append(Watch(True))
+            self.actions.append(api.Watch(True))
             self.asked_at, self.ask_at = self.now, math.inf
 
     # -- load estimate
@@ -572,14 +554,21 @@
 
     def learns_slots(self) -> bool:
         """Whether starts are all that tells how many slots a worker has."""
-        return self.s.tells_start and not (self.s.ratings or self.s.reports_in_probes)
+        return self.s.tells_start and not self.s.ratings
+
+    def queued(self, worker: Worker) -> bool:
+        """Whether an attempt of ours waits there for a slot. Past the silence, and beside none that runs, it
+        may as well be lost."""
+        out = worker.out.values() if self.s.tells_start else ()
+        since = -math.inf if any(a.started >= 0 for a in out) else self.now - SILENT
+        return any(a.started < 0 and since < a.sent < self.now - QUEUED and not a.lost for a in out)
 
     def on_trial(self, worker: Worker, need: float) -> bool:
         """Whether a job may go one slot over what is known, to see whether it starts at once."""
         return (
-            self.learns_slots()
-            and not worker.known_slots
+            self.learns_slots() and not worker.known_slots
             and worker.shape.misses < TRIAL_MISSES
+            and self.elsewhere(worker) < 1.0
             and worker.cold_until <= self.now
             and worker.ours + worker.beside + need <= self.slots(worker) + 1.0
         )
@@ -599,7 +588,7 @@
             self.set_slots(worker.shape, running)
 
     def set_slots(self, shape: Shape, slots: float) -> None:
-        serving = [w for w in self.workers.values() if w.state is WorkerState.IN_SERVICE]
+        serving = [w for w in self.workers.values() if w.state is api.WorkerState.IN_SERVICE]
         of_shape = [w for w in serving if w.shape is shape]
         before = sum(self.slots(w) for w in of_shape)
         shape.slots, shape.misses = slots, 0
@@ -636,13 +625,9 @@
     def elsewhere(self, worker: Worker) -> float:
         """What other dispatchers hold there: last seen, fading into the fleet's mean."""
         slots = self.slots(worker)
-        if self.seen >= 0:
-            mean = self.seen * slots
-        else:
-            mean = min((self.s.instances - 1) * self.ours / max(self.slots_in_service, 1.0), 1.0) * slots
+        mean = min((self.s.instances - 1) * self.ours / max(self.slots_in_service, 1.0), 1.0) * slots
         # What the rest of the fleet bears must never close a worker by itself: it leaves a slot free.
-        limit = MEAN_LIMIT if self.seen >= 0 else GUESS_LIMIT
-        mean = max(0.0, min(mean, limit * slots, slots - 1.0))
+        mean = max(0.0, min(mean, GUESS_LIMIT * slots, slots - 1.0))
         if worker.others < 0:
             return mean
         age = (self.now - worker.others_at) / (FADE * self.run_mean)
@@ -661,21 +646,19 @@
             ours += sum(need for sent, ended, need in worker.ended if sent <= then < ended)
         worker.others = max(0.0, held - ours - worker.beside)
         worker.others_at = then
-        if age > 0:
-            share = worker.others / self.slots(worker)
-            self.seen = share if self.seen < 0 else self.seen + SEEN_GAIN * (share - self.seen)
 
-    def ask_slots(self, worker: Worker) -> None:
-        """Where only probes bring reports, ask one worker of a shape whose slots no report has shown yet."""
-        shape = worker.shape
+    def ask_report(self, worker: Worker, need: float) -> None:
+        """Where only probes bring reports, ask a worker that fills up how much others hold there."""
         only_probes = self.s.may_probe and self.s.reports_in_probes and not self.s.reports_in_answers
-        if only_probes and shape.slots == 0.0 and not shape.asked:
-            shape.asked = True
-            self.actions.append(Probe(worker.name))
+        if not only_probes or self.now < worker.asked_at + REPORT_EVERY:
+            return
+        if worker.ours + need > REPORT_FROM * self.slots(worker):
+            worker.asked_at = self.now
+            self.actions.append(api.Probe(worker.name))
 
-    def learn_report(self, worker: Worker, report: Report) -> None:
+    def learn_report(self, worker: Worker, report: api.Report) -> None:
         shape, queued = worker.shape, report.queued
-        if report.free_slots is not None:
+        if report.free_slots is not None and not self.learns_slots():
             shape.slots = max(shape.slots, float(round(report.free_slots)))
         if report.in_flight is not None and queued is not None and queued >= 0.9:
             shape.slots = max(1.0, float(round(report.in_flight - queued)))
@@ -763,6 +746,8 @@
             rested = self.workers.get(heapq.heappop(self.resting)[1])
             if rested is not None:
                 self.set_ready(rested)
+                if rested.trial and not rested.ready:
+                    heapq.heappush(self.resting, (self.now + TRIAL, rested.name))
         memory = FAULT_MEMORY * self.run_mean
         while self.trust_ends and self.trust_ends[0][0] < self.now - memory:
             trusted = self.workers.get(self.trust_ends.popleft()[1])
@@ -788,7 +773,10 @@
             placed += len(jobs) - len(held)
             barren = barren + 1 if len(held) == len(jobs) else 0
         for job in left:
-            self.wait(waiting, job)
+            if kind[1] is not None and round_kind(job, self.by_class, self.home_of(job)) != kind:
+                self.gather_job(job)  # it may leave its zone now
+            else:
+                self.wait(waiting, job)
         if not (waiting.in_time or waiting.late):
             del self.gathering[kind]
             return
@@ -816,11 +804,11 @@
 
     def wait(self, waiting: Gathering, job: Job) -> None:
         """Held jobs leave by worth for the work, then most slack first. Tightest first would serve every job
-        at the edge of its aim under overload, and lose most of them to the first small delay."""
+        at the edge of its aim under overload, and lose most of them to the first small delay. Those beyond
+        their tenant's share wait with the late ones."""
         latest = self.latest_start(job)
-        worth = job.spec.worth if self.s.worth_by_work else job.spec.worth / max(job.work, 1.0)
-        heap = waiting.late if latest < self.now else waiting.in_time
-        heapq.heappush(heap, (-job.priority, -worth, -latest, job.id, job))
+        heap = waiting.late if latest < self.now or job.scale < 1.0 else waiting.in_time
+        heapq.heappush(heap, (-job.priority, -self.worth(job), -latest, job.id, job))
 
     def still_waits(self, job: Job) -> bool:
         """Recheck at the round what held when the job joined it: a memory span may have run out since."""
@@ -832,10 +820,9 @@
 
     def hopeless(self, job: Job) -> bool:
         """Whether no worker could end the job while its answer is still worth something."""
-        if job.spec.late_worth > 0:
-            return False
         fastest = min((s.slow for s in self.shapes.values()), default=self.slow_mean)
-        return self.now + HOPE * fastest * job.work > job.aim_at
+        by = job.deadline if job.spec.late_worth > 0 else job.aim_at
+        return self.now + HOPE * fastest * job.work > by
 
     def latest_start(self, job: Job) -> float:
         """When a job must start at typical speed to end within its aim."""
@@ -851,7 +838,7 @@
         if pool is None or not pool.items:
             return jobs
         left = self.fill_round(pool.items, jobs)
-        picky = [j for j in left if j.spec.repeat is Repeat.SINGLE_SHOT and self.picky(j)]
+        picky = [j for j in left if j.spec.repeat is api.Repeat.SINGLE_SHOT and self.picky(j)]
         trusted = [w for w in self.trusted.items if w.name in pool.place] if picky else []
         if trusted:
             held = set(map(id, self.fill_round(trusted, picky)))
@@ -862,6 +849,8 @@
         need = max(j.need for j in jobs)
         drawn = draw(self.rng, items, draw_count(len(jobs)))
         load = {w.name: self.load(w, need) for w in drawn}
+        for worker in drawn:
+            self.ask_report(worker, need)
         places = fill(self.rng, drawn, load, len(jobs))
         left = []
         for job in jobs:
@@ -880,9 +869,10 @@
             and worker.name not in job.avoid
             and worker.shuns.get(job.spec.name, (0.0, 0))[0] <= self.now
             and self.room(worker, job.need, self.latest_start(job) < self.now)
+            and not self.queued(worker)
             and self.in_time(worker, job)
             and self.cold_allows(worker, job)
-            and (job.spec.repeat is not Repeat.SINGLE_SHOT or self.sound(worker, job))
+            and (job.spec.repeat is not api.Repeat.SINGLE_SHOT or self.sound(worker, job))
         )
 
     def sound(self, worker: Worker, job: Job) -> bool:
@@ -896,19 +886,14 @@
         """Meeting each worker seldom, we learn too late that one is bad; but a failure anywhere shows that
         bad ones are about. Then a job that must not run twice goes for a while only where attempts of ours
         have succeeded lately, as a bad one's do less often; where there is no such worker, waiting finds
-        none."""
+        none. Seldom is less than twice in the fault memory, by Little's law from what we hold."""
         return (
             self.now - self.failed_at <= FAULT_MEMORY * self.run_mean
-            and self.sparse()
+            and self.ours * FAULT_MEMORY < 2.0 * self.in_service
             and bool(self.trusted.items)
             and self.now < job.came + PICKY * job.spec.aim
         )
 
-    def sparse(self) -> bool:
-        """Whether we meet each worker less than twice in the fault memory (by Little's law, from what we
-        hold): as one of many dispatchers, too seldom for what a worker does to us to show what it is."""
-        return self.ours * FAULT_MEMORY < 2.0 * self.in_service
-
     def trust(self, worker: Worker) -> None:
         """Keep the pool of workers that have served us lately, are ready and have not failed since."""
         memory = FAULT_MEMORY * self.run_mean
@@ -955,9 +940,52 @@
             return False
         return here <= left or job.work * self.slow_mean > left
 
+    # -- zones
+
+    def home_of(self, job: Job) -> str | None:
+        """The zone whose workers alone a job is placed on for now; None: any.
+
+        While it waits at home, what is left of its slack is the chance, as far as anybody knows, of finding
+        room there in time; else it loses what being in time is worth. It leaves once that costs more than
+        crossing, and at once where no worker of its own zone is in service.
+        """
+        zone = self.s.zone
+        if not self.s.price_cross_zone or not job.home:
+            return None
+        pool = self.pools.get((job.spec.shape, zone, None, job.spec.name if self.by_class else None))
+        if pool is not None and pool.members:
+            share, slack = 1.0 - job.spec.late_worth, job.slack
+            left = self.latest_start(job) - self.now
+            if left < 0.0:  # it is late: at stake is what it still earns, until its deadline
+                share, slack = job.spec.late_worth, job.deadline - job.aim_at
+                left += slack
+            stake = self.worth(job) * max(job.work, 1.0) * share
+            risk = 1.0 - left / max(slack, 1.0)
+            if CROSS_STAKE * stake * risk <= self.s.price_cross_zone * self.worth_mean:
+                return zone
+        job.home = False
+        return None
+
+    def share_scale(self, tenant: str | None) -> float:
+        """What is left of the worth of a request by this tenant: less beyond its share, of which ours is an
+        even part. It is counted as a bucket of what the tenant may still send."""
+        bucket = self.shares.get(tenant or "")
+        if bucket is None:
+            return 1.0
+        left, at, rate = bucket
+        left = min(left + (self.now - at) * rate, max(TENANT_BURST * rate, 1.0))
+        over = left < 1.0
+        self.shares[tenant or ""] = (left if over else left - 1.0, self.now, rate)
+        return self.s.over_share_worth if over else 1.0
+
+    def worth(self, job: Job) -> float:
+        """What the work of a job is worth for each ms, in time."""
+        worth = job.spec.worth if self.s.worth_by_work else job.spec.worth / max(job.work, 1.0)
+        return worth * job.scale
+
     # -- requests
 
-    def on_request(self, event: Request) -> None:
+    def on_request(self, event: api.Request) -> None:
         spec = self.classes.get(event.cls)
         if spec is None:
             raise ValueError(f"request {event.id} is of class {event.cls!r}, which the settings do not name")
@@ -969,15 +997,19 @@
             work = self.work.get(spec.name, spec.aim)
         job = Job(event, spec, self.now, work)
         if event.expires_in <= 0:
-            self.actions.append(Refuse(job.id))
+            self.actions.append(api.Refuse(job.id))
             return
         self.jobs[job.id] = job
+        job.slack = self.latest_start(job) - self.now
+        job.scale = self.share_scale(event.tenant)
+        value = self.worth(job) * max(job.work, 1.0)
+        self.worth_mean += (value - self.worth_mean) * (SHAPE_GAIN if self.worth_mean else 1.0)
         heapq.heappush(self.expiry, (job.deadline, job.id))
         self.gather_job(job)
 
     def gather_job(self, job: Job) -> None:
         """Let a job wait for the next round of its kind: first tries and retries alike."""
-        kind = round_kind(job, self.by_class)
+        kind = round_kind(job, self.by_class, self.home_of(job))
         waiting = self.gathering.setdefault(kind, Gathering())
         waiting.fresh += 1
         self.wait(waiting, job)
@@ -991,8 +1023,7 @@
             worker.cold_spent.append((self.now, attempt.expected * job.need))
         if worker.trial:
             self.set_ready(worker)
-        self.actions.append(Send(job.id, worker.name))
-        self.ask_slots(worker)
+        self.actions.append(api.Send(job.id, worker.name))
 
     def commit(self, job: Job, number: int, worker: Worker, sent: float) -> Attempt:
         """An attempt is out, and takes up its worker's slots."""
@@ -1003,8 +1034,6 @@
         worker.out[job.id, number] = attempt
         if self.s.tells_start:
             self.unstarted.append(attempt)
-            if job.spec.repeat is Repeat.FREE and self.s.may_cancel:
-                self.unmoved.append(attempt)
         worker.ours += job.need
         self.ours += job.need
         return attempt
@@ -1014,36 +1043,36 @@
         job.over = True
         self.jobs.pop(job.id, None)
         if self.s.may_cancel:
-            self.actions.extend(Cancel(job.id, a.number) for a in job.out)
+            self.actions.extend(api.Cancel(job.id, a.number) for a in job.out)
 
     def answer(self, job: Job) -> None:
         """Give the final answer ourselves: a refusal where that is true, or else a failure."""
-        self.actions.append(Refuse(job.id, self.advice()) if may_refuse(job) else Fail(job.id))
+        self.actions.append(api.Refuse(job.id, self.advice()) if may_refuse(job) else api.Fail(job.id))
         self.end(job)
 
     def advice(self) -> float | None:
         """When a refused client may come back: by then about one run time's worth of slots is free."""
         return min(self.run_mean, self.s.max_wait_advice) if self.s.may_advise_wait else None
 
-    def on_gone(self, event: RequestGone) -> None:
+    def on_gone(self, event: api.RequestGone) -> None:
         job = self.jobs.get(event.request)
         if job is not None:
             self.end(job)
 
-    def on_stream(self, event: StreamStarted) -> None:
+    def on_stream(self, event: api.StreamStarted) -> None:
         job = self.jobs.get(event.request)
         if job is not None:
             job.streaming = True
 
-    def on_ended(self, event: AttemptEnded) -> None:
+    def on_ended(self, event: api.AttemptEnded) -> None:
         attempt = self.attempts.pop((event.request, event.attempt), None)
         if attempt is None:
             return
         job, worker = attempt.job, attempt.worker
         self.count_running(worker)
         del worker.out[job.id, attempt.number]
-        if event.outcome in (Outcome.DONE, Outcome.ERROR, Outcome.REJECTED):
-            self.hear(attempt, event.outcome is Outcome.DONE)
+        if event.outcome in (api.Outcome.DONE, api.Outcome.ERROR, api.Outcome.REJECTED):
+            self.hear(attempt, event.outcome is api.Outcome.DONE)
         worker.ended.append((attempt.sent, self.now, job.need))
         if not attempt.lost:
             worker.ours -= job.need
@@ -1064,7 +1093,7 @@
         elif not job.out:
             self.answer(job)
 
-    def on_progress(self, event: Progress) -> None:
+    def on_progress(self, event: api.Progress) -> None:
         attempt = self.attempts.get((event.request, event.attempt))
         if attempt is None:
             return
@@ -1072,8 +1101,6 @@
         self.hear(attempt, True)
         if event.started:
             attempt.started = self.now
-            late = self.now - attempt.sent > START_LATE
-            self.late_share += LATE_GAIN * (late - self.late_share)
             if self.learns_slots():
                 self.hear_start(attempt)
         elif event.share > 0:
@@ -1085,19 +1112,19 @@
                 worker.slow += SPEED_GAIN * (min(ratio, 20.0) - worker.slow)
                 worker.slow_at = self.now
 
-    def on_probed(self, event: ProbeEnded) -> None:
+    def on_probed(self, event: api.ProbeEnded) -> None:
         worker = self.workers.get(event.worker)
-        if worker is None:
+        if worker is None or not event.ok:
             return
-        worker.shape.asked = False
-        if event.ok and event.report is not None:
+        worker.heard = self.now
+        if event.report is not None:
             self.learn_report(worker, event.report)
 
-    def on_timer(self, event: TimerFired) -> None:
+    def on_timer(self, event: api.TimerFired) -> None:
         if event.handle == self.timer_handle:
             self.timer_at = math.inf
 
-    def on_peer(self, event: PeerMessage) -> None:
+    def on_peer(self, event: api.PeerMessage) -> None:
         """Nothing is asked of peers: each instance keeps every rule and decides alone."""
 
     def expire(self) -> None:
@@ -1109,7 +1136,7 @@
 
     # -- an old version and a new one, side by side
 
-    def on_beside(self, event: Beside) -> None:
+    def on_beside(self, event: api.Beside) -> None:
         """Both act as one instance: what the other has committed takes room here as our own does. What it
         held at its end runs on, and fades as others' load does."""
         for worker in self.workers.values():
@@ -1136,14 +1163,14 @@
             self.run_mean, self.pace.run, self.pace.work = mean, run, work
             self.slow_mean = run / max(work, 1.0)
 
-    def beside(self) -> Beside:
+    def beside(self) -> api.Beside:
         """What the process beside us has to know."""
         holds, since = {}, self.now - self.s.cold_window
         for worker in self.workers.values():
             cold = sum(c for at, c in worker.cold_spent if at > since) if worker.cold_spent else 0.0
             if worker.ours > 0 or cold > 0:
                 holds[worker.name] = (worker.ours, cold)
-        return Beside(holds)
+        return api.Beside(holds)
 
     def learned(self) -> dict[str, dict[str, tuple[float, ...]]]:
         """What a process that begins beside us need not find out anew."""
@@ -1160,15 +1187,15 @@
             "fleet": {"": (self.run_mean, self.pace.run, self.pace.work)},
         }
 
-    def hand_out(self, request: int, now: float) -> Standing | None:
+    def hand_out(self, request: int, now: float) -> api.Standing | None:
         """Forget a request that goes on in the process beside us; None where it has to stay."""
         job = self.jobs.get(request)
-        bound = job is not None and job.risky and job.spec.repeat is not Repeat.FREE
+        bound = job is not None and job.risky and job.spec.repeat is not api.Repeat.FREE
         if job is None or bound or job.streaming or any(a.lost for a in job.out):
             return None
         del self.jobs[job.id]
         job.over = True
-        standing = Standing(job.aim_at - now, job.work, job.sends, [], [], sorted(job.avoid))
+        standing = api.Standing(job.aim_at - now, job.work, job.sends, [], [], sorted(job.avoid))
         for a in job.out:
             started = now - a.started if a.started >= 0 else -1.0
             standing.out.append((a.number, now - a.sent, started))
@@ -1178,7 +1205,7 @@
             self.ours -= job.need
         return standing
 
-    def on_adopted(self, event: Adopted) -> None:
+    def on_adopted(self, event: api.Adopted) -> None:
         """A request with a past: its attempts are out, and hold their places here from now on."""
         request, standing = event.request, event.standing
         job = Job(request, self.classes[request.cls], self.now, standing.work)
@@ -1194,26 +1221,26 @@
 
     # -- health
 
-    def judge(self, attempt: Attempt, event: AttemptEnded) -> None:
+    def judge(self, attempt: Attempt, event: api.AttemptEnded) -> None:
         """What an outcome says of its worker."""
         worker = attempt.worker
         if event.report is not None:
             self.learn_report(worker, event.report)
-        if event.outcome in (Outcome.DONE, Outcome.ERROR):
-            self.hear_fault(worker, event.outcome is Outcome.ERROR)
-        if event.outcome is Outcome.DONE:
+        if event.outcome in (api.Outcome.DONE, api.Outcome.ERROR):
+            self.hear_fault(worker, event.outcome is api.Outcome.ERROR)
+        if event.outcome is api.Outcome.DONE:
             if worker.trial or worker.failures:
                 worker.failures, worker.trial = 0, False
                 self.set_ready(worker)
             run = event.elapsed if attempt.started < 0 else self.now - attempt.started
             self.learn_run(attempt, run)
             return
-        if event.outcome is Outcome.REJECTED:
+        if event.outcome is api.Outcome.REJECTED:
             held = worker.ours + worker.beside + attempt.job.need
             if self.learns_slots() and held > self.slots(worker):
                 worker.shape.misses += 1
             self.observe(worker, self.slots(worker) + 1.0, 0.0)
-        elif event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and not event.stale:
+        elif event.outcome not in (api.Outcome.CANCELLED, api.Outcome.NOT_SENT) and not event.stale:
             self.rest(worker)
         if worker.trial:
             self.set_ready(worker)
@@ -1221,8 +1248,9 @@
     def hear(self, attempt: Attempt, ran: bool) -> None:
         """A worker has told of an attempt, and that it runs or ran, or not so.
 
-        It starts jobs in their order: of a job that was sent well before, and has not started, it knows
-        nothing. A connection fell silent, and the slot is free.
+        Of a job that was sent well before and should have started first, it knows nothing: a connection fell
+        silent, and the slot is free. Where not all start in their order, that is so of those of its class
+        that need no more room.
         """
         worker = attempt.worker
         worker.heard = self.now
@@ -1235,6 +1263,9 @@
         for other in worker.out.values():
             if not ran or other.sent + APART >= attempt.sent:
                 break
+            first = other.job.spec is attempt.job.spec and other.job.need <= attempt.job.need
+            if not (first or self.s.starts_in_order):
+                continue
             if other.started < 0 and not other.lost and other.sent + SILENT <= self.now:
                 other.lost = True
                 worker.ours -= other.job.need
@@ -1260,32 +1291,9 @@
                 _, times = worker.shuns.get(job.spec.name, (0.0, 0))
                 until = self.now + SHUN * self.run_mean * 2 ** min(times, REST_LIMIT)
                 worker.shuns[job.spec.name] = (until, times + 1)
-            again = job.spec.repeat is Repeat.FREE and self.s.may_cancel and job.sends < self.s.max_attempts
+            again = self.s.may_cancel and job.sends < self.s.max_attempts and may_repeat(job, self.now)
             if again and (mute or attempt.lost):
-                self.actions.append(Cancel(job.id, attempt.number))
-
-    def move_queued(self) -> None:
-        """A job that may run again and has not started START_LATE after its send waits behind jobs of other
-        dispatchers, which our own count does not show; across a large fleet that is the common way to miss.
-        Where most of our jobs start at once, it goes elsewhere while it can still be in time there, and its
-        worker counts as full. Where most start late, all are full: moving would only churn."""
-        if self.late_share > MOVE_LIMIT or not self.sparse():
-            self.unmoved.clear()
-        while self.unmoved:
-            attempt = self.unmoved[0]
-            if not self.settled(attempt) and self.now < attempt.sent + START_LATE:
-                break
-            self.unmoved.popleft()
-            job, worker = attempt.job, attempt.worker
-            if self.settled(attempt) or attempt.lost or job.over or job.sends >= self.s.max_attempts:
-                continue
-            if self.latest_start(job) < self.now or len(self.everyone.items) <= len(job.avoid) + 1:
-                continue  # in time nowhere, or nowhere else to go: it may as well wait its turn here
-            if attempt.over:
-                worker.shape.misses += 1  # a trial of one slot more that found the worker full
-            self.observe(worker, self.slots(worker) + 1.0, 0.0)
-            self.late_share += LATE_GAIN * (1.0 - self.late_share)  # its start, if it comes, is not heard
-            self.actions.append(Cancel(job.id, attempt.number))
+                self.actions.append(api.Cancel(job.id, attempt.number))
 
     def settled(self, attempt: Attempt) -> bool:
         """Whether there is nothing to find out of an attempt: it has started or ended."""
@@ -1312,15 +1320,13 @@
             due = min(due, self.expiry[0][0])
         if self.unstarted:
             due = min(due, self.unstarted[0].sent + SILENT)
-        if self.unmoved:
-            due = min(due, self.unmoved[0].sent + START_LATE)
         due = max(min(due, self.ask_at), self.now)
         if self.asked_at > -math.inf:
             due = min(due, self.asked_at + self.s.ask_within + self.s.tick)
         if due < self.timer_at:
             self.timer_at = due
             self.timer_handle += 1
-            self.actions.append(SetTimer(due, self.timer_handle))
+            self.actions.append(api.SetTimer(due, self.timer_handle))
 
     # -- what on-call staff may ask
 
@@ -1329,7 +1335,7 @@
         resting = (self.workers.get(name) for _, name in self.resting)
         return {w.name for w in resting if w is not None and w.rest_until > now}
 
-    def explain_worker(self, name: str) -> Facts:
+    def explain_worker(self, name: str) -> api.Facts:
         """Why a worker ranks as it does now; changes nothing."""
         worker = self.workers.get(name)
         if worker is None:
@@ -1350,7 +1356,7 @@
             "on_trial": worker.trial,
         }
 
-    def explain_request(self, request: int) -> Facts:
+    def explain_request(self, request: int) -> api.Facts:
         """Where an open request stands, and what may still be done with it."""
         job = self.jobs.get(request)
         if job is None:
--- a/eiderpin/interface.py
+++ b/eiderpin/interface.py
@@ -123,8 +123,10 @@
     # what workers tell
     reports_in_answers: bool = False
     reports_in_probes: bool = False
+    report_names: dict[str, str] = field(default_factory=dict)  # what a `Report`'s fields are called here
     tells_start: bool = False
     progress_every: float = 0.0
+    starts_in_order: bool = False  # a worker starts its jobs in the order in which they came
     live_ratings: bool = False  # the rating is the size divided by 1 + requests held per core
     ratings: bool = True  # whether the rating tells sizes at all
     # rules
--- a/eiderpin/net/workers.py
+++ b/eiderpin/net/workers.py
@@ -13,7 +13,7 @@
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.schedulings import Scheduling, ServiceEntry
-from eiderpin.net import http
+from eiderpin.net import http, reports
 from eiderpin.net.loop import Connection, Loop
 
 IDLE_SHARE = 0.5  # of conn_idle: a connection is retired well before its worker closes it
@@ -102,17 +102,25 @@
             self.workers.lost(self)
             return
         if self.probe_at is not None:
-            core.probed(self.entry, message.status == 200, core.clock.now() - self.probe_at)
+            ok = message.status == 200
+            names = core.settings.report_names
+            report = reports.of_body(message.body, names) if ok and message.body else None
+            core.probed(self.entry, ok, core.clock.now() - self.probe_at, report)
         elif scheduling is not None:
             if message.status == 202:
                 scheduling.accepted = True
             elif message.status in (503, 504) and message.headers.get("srv-declined") == "1":
-                core.ended(scheduling, api.Outcome.REJECTED)
+                core.ended(scheduling, api.Outcome.REJECTED, report=self.told(message))
             else:
                 core.counters.add(f"out.status.{message.status}")
-                core.ended(scheduling, api.Outcome.ERROR)
+                core.ended(scheduling, api.Outcome.ERROR, report=self.told(message))
         self.free(message.keep_alive and not self.unwritten)
 
+    def told(self, message: http.Message) -> api.Report | None:
+        """The load that the worker tells with an answer."""
+        text = message.headers.get("srv-load")
+        return None if text is None else reports.of_text(text, self.workers.core.settings.report_names)
+
     def free(self, keep: bool) -> None:
         """The exchange is over."""
         self.drop_deadline()
@@ -155,6 +163,7 @@
     def __init__(self, loop: Loop, core: Dispatcher, host: str, most: int) -> None:
         self.loop, self.core = loop, core
         self.host = host
+        self.probes_at = b"/_load" if core.settings.reports_in_probes else b"/ping"
         self.most = most
         self.open: set[WorkerConnection] = set()
         self.idle: dict[str, list[WorkerConnection]] = {}
@@ -198,7 +207,7 @@
         self._call(scheduling.entry, http.request("DELETE", target, (f"Host: {self.host}",)), None)
 
     def probe(self, entry: ServiceEntry) -> None:
-        request = http.request("GET", b"/ping", (f"Host: {self.host}",))
+        request = http.request("GET", self.probes_at, (f"Host: {self.host}",))
         if not self._call(entry, request, self.core.clock.now()):
             self.core.probed(entry, False, 0.0)
 
@@ -286,6 +295,9 @@
 
     # -- call-backs
 
+    def load_of(self, said: dict[str, Any]) -> api.Report | None:
+        return reports.of_fields(said.get("load"), self.core.settings.report_names)
+
     def news(self, body: bytes, reply: Callable[[int], None]) -> None:
         """Take one call-back and reply with a status. Repeated and late ones are answered as well."""
         try:
@@ -344,9 +356,9 @@
             if isinstance(share, int | float) and 0 <= share <= 1:
                 self.core.progress(scheduling, False, float(share))
         elif state == "done":
-            self.core.ended(scheduling, api.Outcome.DONE, _result(said))
+            self.core.ended(scheduling, api.Outcome.DONE, _result(said), report=self.load_of(said))
         elif state in STATES:
-            self.core.ended(scheduling, STATES[state])
+            self.core.ended(scheduling, STATES[state], report=self.load_of(said))
         return True
 
 
--- a/eiderpin/wire.py
+++ b/eiderpin/wire.py
@@ -48,7 +48,9 @@
 }
 _SCOPES = {"all": api.Scope.ALL, "zone": api.Scope.ZONE, "cell": api.Scope.CELL}
 # What a report value may be called, and in the words of family_info for x0 and x1.
-_REPORT = {"outstanding": "in_flight", "backlog": "queued"}
+_REPORT = {
+    "outstanding": "in_flight", "inflight": "in_flight", "backlog": "queued", "queue": "queued",
+}  # fmt: skip
 _REPORT_WORDS = {"free slots": "free_slots", "free memory": "free_memory"}
 
 
@@ -146,6 +148,7 @@
     s.reports_in_answers = source == "piggyback"
     s.reports_in_probes = source in ("piggyback", "pull")
     s.tells_start = _get(family, "tells_start", bool, s.tells_start, "family_info.")
+    s.starts_in_order = _get(family, "queue_order", str, "", "family_info.") == "fifo"
     s.progress_every = _get(family, "progress", _NUMBER, s.progress_every, "family_info.")
     weights = _get(conf, "weights", str, "silent")
     s.live_ratings = weights == "live"
@@ -164,6 +167,7 @@
         meaning = family.get(f"report_{x}")
         if meaning in _REPORT_WORDS:
             names[x] = _REPORT_WORDS[meaning]
+    s.report_names = names
     s.check()
     return s, names
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -146,6 +146,7 @@
         self.seen: list[tuple[str, str, dict[str, str], bytes]] = []  # method, path, headers, body
         self.connections = 0
         self.back = ""  # where to call back
+        self.load = b""  # what probes are told
         self.act = act or (lambda worker, rid, handler: worker.serve(rid, handler))
         me = self
 
@@ -163,6 +164,10 @@
                 me.seen.append(("DELETE", self.path, {}, b""))
                 self.say(204)
 
+            def do_GET(self) -> None:
+                me.seen.append(("GET", self.path, {}, b""))
+                self.say(200, me.load)
+
         self.server = _Server(("127.0.0.1", 0), Handler)
         self.port = int(self.server.server_address[1])
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
--- /dev/null
+++ b/tests/test_reports.py
@@ -0,0 +1,81 @@
+"""Load reports: the forms in which workers write them, and probes that ask for them."""
+
+from __future__ import annotations
+
+import threading
+import unittest
+from types import SimpleNamespace
+from typing import Any, cast
+
+from eiderpin import interface as api
+from eiderpin import wire
+from eiderpin.net import reports
+from eiderpin.net.workers import HttpWorkers
+from tests.standins import SETTINGS, HttpWorker, http_call, running, wait_for
+
+CONF: dict[str, Any] = {
+    **SETTINGS,
+    "family_info": {**SETTINGS["family_info"], "report_x0": "free slots", "report_x1": "free memory"},
+    "report": {"names": ["recent_ms", "backlog", "x0", "x1"], "source": "pull"},
+    "limits": {**SETTINGS["limits"], "probes": True},
+}
+NAMES = wire.settings(CONF)[0].report_names
+WHOLE = api.Report(queued=2.0, free_slots=2.38, free_memory=3.5)
+
+
+class Forms(unittest.TestCase):
+    def test_each_form_of_a_whole_report(self) -> None:
+        for body in (
+            b"recent_ms=0,backlog=2,x0=2.380,x1=3.5", b"x1=3.5, x0=2.38 ,queue=2,recent_ms=1e2",
+            b'{"backlog":2,"x0":2.38,"x1":3.5,"recent_ms":7}', b'{"load":{"backlog":2,"x0":2.38,"x1":3.5}}',
+        ):  # fmt: skip
+            self.assertEqual(reports.of_body(body, NAMES), WHOLE, body)
+        self.assertEqual(reports.of_text("inflight=7,queue=2,util=0.61", NAMES), api.Report(7.0, 2.0))
+
+    def test_what_makes_no_sense_is_left_out_and_the_rest_kept(self) -> None:
+        for body, report in (
+            (b"", None), (b"ok", None), (b"[1,2]", None), (b"7", None), (b"{", None), (b"\xff\xfe=1", None),
+            (b'{"x0":"3","x1":true,"backlog":null}', None), (b"x0=nan,x1=inf,backlog=1e300", None),
+            (b"x0=2,x0,=,x1=two,backlog", api.Report(free_slots=2.0)),
+            (b"x0=-0.4", api.Report(free_slots=0.0)),  # noise below nothing
+        ):  # fmt: skip
+            self.assertEqual(reports.of_body(body, NAMES), report, body)
+
+    def test_a_call_back_and_an_answer_may_bear_one(self) -> None:
+        core = SimpleNamespace(settings=SimpleNamespace(report_names=NAMES))
+        workers = cast(Any, SimpleNamespace(core=core))
+        self.assertEqual(HttpWorkers.load_of(workers, {"load": {"x0": 1}}), api.Report(free_slots=1.0))
+        self.assertIsNone(HttpWorkers.load_of(workers, {"load": "x0=1"}))
+        self.assertIsNone(HttpWorkers.load_of(workers, {}))
+
+
+class Probes(unittest.TestCase):
+    def test_where_probes_bring_reports_they_ask_for_them(self) -> None:
+        for load in (b"recent_ms=0,backlog=0,x0=4,x1=4", b"{", b""):
+            go = threading.Event()
+
+            def run(worker: HttpWorker, rid: str, go: threading.Event = go) -> None:
+                worker.tell(rid, "started")
+                worker.ran[rid] += 1
+                go.wait(20)
+                worker.tell(rid, "done", result="ran")
+
+            def slow(worker: HttpWorker, rid: str, handler: Any, run: Any = run) -> None:
+                handler.say(202)
+                threading.Thread(target=run, args=(worker, rid), daemon=True).start()
+
+            worker = HttpWorker("h1", slow)
+            worker.load = load
+            with self.subTest(load=load), running([worker], settings=CONF) as (program, _):
+                asked = []
+                for i in range(3):  # one at a time, so that the last finds the others out
+                    told = {"Req_Id": f"a{i}"}
+                    call = (program.edge, "POST", "/time-lookup")
+                    asked.append(threading.Thread(target=http_call, args=call, kwargs=told))
+                    asked[-1].start()
+                    wait_for(lambda worker=worker, i=i: worker.ran[f"a{i}"], "the job to have started")
+                wait_for(lambda: program.counters().get("out.probe.answered"), "an answer to a probe")
+                go.set()
+                for thread in asked:
+                    thread.join(20)
+                self.assertEqual({path for method, path, _, _ in worker.seen if method == "GET"}, {"/_load"})
