Let jobs leave a zone where starts come later than elsewhere

Each dispatcher holds a few jobs of each home worker, so each finds room there, and together they fill its queue; home_of looked only at what a job waits here.

What starts take longer at home than elsewhere, a fading mean of either, comes off the slack that is left.

--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -369,6 +369,7 @@
         self.gather = max(GATHER * min(c.aim for c in settings.classes), GATHER_TICKS * settings.tick)
         self.work: dict[str, float] = {}  # mean run or hint of a class
         self.worth_mean = 0.0  # what a request is worth, in time
+        self.starts = [0.0, 0.0]  # ms from a send to its start, lately: elsewhere, and in our own zone
         self.slow_mean = 1.0  # run time over work, fleet-wide
         self.failed_at = -math.inf  # when an attempt last failed, anywhere
         self.trusted = Pool()  # ready workers where attempts of ours succeeded lately and none failed since
@@ -573,11 +574,6 @@
             and worker.ours + worker.beside + need <= self.slots(worker) + 1.0
         )
 
-    def hear_start(self, attempt: Attempt) -> None:
-        """A trial that starts late, once another has ended, shows that there is no slot more."""
-        if attempt.over and self.now - attempt.sent > START_LATE:
-            attempt.worker.shape.misses += 1
-
     def count_running(self, worker: Worker) -> None:
         """Jobs of ours that run at once are slots that the shape has."""
         if worker.known_slots or not self.learns_slots():
@@ -945,9 +941,8 @@
     def home_of(self, job: Job) -> str | None:
         """The zone whose workers alone a job is placed on for now; None: any.
 
-        While it waits at home, what is left of its slack is the chance, as far as anybody knows, of finding
-        room there in time; else it loses what being in time is worth. It leaves once that costs more than
-        crossing, and at once where no worker of its own zone is in service.
+        What is left of its slack, less what starts take longer at home, is the chance of starting there in
+        time; else it loses what that is worth. It leaves once this costs more, or no worker is there.
         """
         zone = self.s.zone
         if not self.s.price_cross_zone or not job.home:
@@ -956,6 +951,7 @@
         if pool is not None and pool.members:
             share, slack = 1.0 - job.spec.late_worth, job.slack
             left = self.latest_start(job) - self.now
+            left -= min(max(0.0, left), max(0.0, self.starts[True] - self.starts[False]))
             if left < 0.0:  # it is late: at stake is what it still earns, until its deadline
                 share, slack = job.spec.late_worth, job.deadline - job.aim_at
                 left += slack
@@ -1101,8 +1097,11 @@
         self.hear(attempt, True)
         if event.started:
             attempt.started = self.now
-            if self.learns_slots():
-                self.hear_start(attempt)
+            late = self.now - attempt.sent
+            home = attempt.worker.zone == self.s.zone
+            self.starts[home] += SHAPE_GAIN * (late - self.starts[home])
+            if self.learns_slots() and attempt.over and late > START_LATE:
+                attempt.worker.shape.misses += 1  # started once another had ended: there is no slot more
         elif event.share > 0:
             # Bad news early: a worker gone slow shows in a job's progress long before it ends.
             since = attempt.started if attempt.started >= 0 else attempt.sent
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -304,3 +304,20 @@
         conf = {"classes": classes, "family_info": {"queue_order": order}}
         assert wire.settings(conf)[0].starts_in_order is in_order
     assert isinstance(Dispatcher(wire.settings({"classes": classes})[0], 1), Dispatcher)
+
+
+def test_jobs_leave_a_zone_where_starts_come_later_than_elsewhere() -> None:
+    """Dispatchers that each see a few jobs of each worker find room at home and fill its queues between them:
+    only the starts that are told late show it. Where they are as late elsewhere, nobody leaves for it."""
+    for elsewhere, leaves in ((5.0, True), (2000.0, False)):
+        play = site("aabb")
+        play.do(api.Request(1, "book", 7500, hint=400.0), api.Request(2, "book", 7500, hint=400.0))
+        at = {1: play.d.workers["a0"], 2: play.d.workers["b2"]}
+        out = [play.d.commit(play.d.jobs[n], 0, worker, play.now) for n, worker in at.items()]
+        play.now += elsewhere
+        play.do(api.Progress(2, 0, "b2", True))
+        play.now = out[0].sent + 2000.0
+        play.do(api.Progress(1, 0, "a0", True))
+        play.d.starts = [late * 20 for late in play.d.starts]  # as after many such
+        ask(play, 3, "book", 60.0, expires_in=7500.0)
+        assert play.d.jobs[3].home is not leaves, elsewhere
