Let jobs leave a zone at their own time, and silence follow what starts take

Cause, zones. A turn looks at the first eight that wait (turn, next_jobs), and only those were asked whether waiting costs more than crossing (home_of), so whoever stood behind jobs of more worth stayed at home until the deadline.

A job that waits at home hangs in a heap by the time at which it may leave; who has left is placed before who stays. At least half of a job's worth is at stake by waiting.

--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -47,7 +47,8 @@
 SLOTS_GUESS = 4.0  # slots of a worker where neither ratings nor reports tell ...
 START_LATE = 100.0  # ms; ... a start that comes later than this shows a worker that was full ...
 QUEUED = 60.0  # ms; ... and an attempt whose start was not told by then, one that is full
-SILENT = 600.0  # ms without a start, where starts are told, after which an attempt is taken to be lost
+SILENT = 600.0  # ms without a start, where starts are told, after which an attempt is taken to be lost ...
+STARTS = 8.0  # ... or this many times what half of all starts take, lately, if that is longer
 APART = 100.0  # ms; sends further apart than this reach their worker in their order
 SETTLED = 100.0  # ms; how long a start must lie back before it counts as running beside others: the end that
 # made room for it may be told on another connection, and after it
@@ -59,6 +60,8 @@
 FAULT_MEMORY = 20.0  # ... until the fault has faded, with this many mean run times
 SPAN_MARGIN = 0.9  # share of a memory span in which a guarded repeat is still sent
 TENANT_BURST = 2000.0  # ms; a tenant may send this long a part of its share at once
+WAIT_STAKE = 0.5  # least share of its worth that a job may lose by waiting: room that is idle meanwhile is
+# lost to all, also where late answers earn as much
 CROSS_STAKE = 2.0  # what a job may lose by waiting counts so often against the price of crossing zones: in
 # the whole, and again in a bad stretch and for the class that fares worst, which are made of such losses
 PICKY = 0.2  # share of its aim in which a job that must not run twice, once failures are about, waits for ...
@@ -206,7 +209,7 @@
 
     __slots__ = (
         "id", "spec", "deadline", "need", "work", "aim_at", "sends", "out", "risky", "streaming",
-        "avoid", "over", "hinted", "priority", "came", "slack", "home", "scale",
+        "avoid", "over", "hinted", "priority", "came", "slack", "home", "scale", "wait",
     )  # fmt: skip
 
     def __init__(self, request: api.Request, spec: api.RequestClass, now: float, work: float) -> None:
@@ -226,6 +229,7 @@
         self.streaming = False
         self.over = False
         self.home = True  # placed in our own zone alone, where crossing has a price
+        self.wait = 0  # number of the wait that it is in now, 0: none; what else is held of it is void
         self.slack = 0.0  # ms for which it could wait when it came, and still be in time
         self.scale = 1.0  # what is left of its worth: less where its tenant is beyond its share
 
@@ -315,7 +319,7 @@
     return places[:jobs]
 
 
-Held = tuple[int, float, float, int, Job]
+Held = tuple[int, float, float, int, int, Job]
 
 
 class Gathering:
@@ -366,10 +370,13 @@
         self.unstarted: deque[Attempt] = deque()  # in the order of their sends
         self.resting: list[tuple[float, str]] = []
         self.gathering: dict[Kind, Gathering] = {}
+        self.waits = 0  # so many waits have begun
+        self.leaving: list[tuple[float, int, int, Job]] = []  # when a job that waits may leave its zone
         self.gather = max(GATHER * min(c.aim for c in settings.classes), GATHER_TICKS * settings.tick)
         self.work: dict[str, float] = {}  # mean run or hint of a class
         self.worth_mean = 0.0  # what a request is worth, in time
         self.starts = [0.0, 0.0]  # ms from a send to its start, lately: elsewhere, and in our own zone
+        self.start = SILENT / STARTS  # ms that half of all starts take at most, lately
         self.slow_mean = 1.0  # run time over work, fleet-wide
         self.failed_at = -math.inf  # when an attempt last failed, anywhere
         self.trusted = Pool()  # ready workers where attempts of ours succeeded lately and none failed since
@@ -561,7 +568,7 @@
         """Whether an attempt of ours waits there for a slot. Past the silence, and beside none that runs, it
         may as well be lost."""
         out = worker.out.values() if self.s.tells_start else ()
-        since = -math.inf if any(a.started >= 0 for a in out) else self.now - SILENT
+        since = -math.inf if any(a.started >= 0 for a in out) else self.now - self.silence()
         return any(a.started < 0 and since < a.sent < self.now - QUEUED and not a.lost for a in out)
 
     def on_trial(self, worker: Worker, need: float) -> bool:
@@ -749,9 +756,15 @@
             trusted = self.workers.get(self.trust_ends.popleft()[1])
             if trusted is not None:
                 self.trust(trusted)
-        for kind, waiting in list(self.gathering.items()):
-            if waiting.fresh >= K or self.now >= waiting.due:
-                self.turn(kind, waiting)
+        while self.leaving and self.leaving[0][0] <= self.now:
+            _, _, number, job = heapq.heappop(self.leaving)
+            if number == job.wait and not job.over:
+                self.gather_job(job)
+        due = [k for k, g in self.gathering.items() if g.fresh >= K or self.now >= g.due]
+        # Those who left their zone for want of room come first: waiting costs them most.
+        wider = dict.fromkeys((k[0], None, None, k[3]) for k in due)
+        for kind in [k for k in wider if k in self.gathering] + [k for k in due if k not in wider]:
+            self.turn(kind, self.gathering[kind])
 
     def turn(self, kind: Kind, waiting: Gathering) -> None:
         """Rounds of one kind, until no job waits or several rounds in a row find no room.
@@ -784,13 +797,17 @@
         """The up to K jobs that leave first."""
         jobs: list[Job] = []
         while len(jobs) < K and waiting.in_time:
-            job = heapq.heappop(waiting.in_time)[-1]
+            *_, number, job = heapq.heappop(waiting.in_time)
+            if number != job.wait:
+                continue  # it has left for another kind of round
             if self.latest_start(job) < self.now:
                 self.wait(waiting, job)  # its time has passed while it waited
             elif self.still_waits(job):
                 jobs.append(job)
         while len(jobs) < K and waiting.late:
-            job = heapq.heappop(waiting.late)[-1]
+            *_, number, job = heapq.heappop(waiting.late)
+            if number != job.wait:
+                continue
             if self.hopeless(job):
                 if not job.over and not job.out:
                     self.answer(job)
@@ -804,7 +821,7 @@
         their tenant's share wait with the late ones."""
         latest = self.latest_start(job)
         heap = waiting.late if latest < self.now or job.scale < 1.0 else waiting.in_time
-        heapq.heappush(heap, (-job.priority, -self.worth(job), -latest, job.id, job))
+        heapq.heappush(heap, (-job.priority, -self.worth(job), -latest, job.id, job.wait, job))
 
     def still_waits(self, job: Job) -> bool:
         """Recheck at the round what held when the job joined it: a memory span may have run out since."""
@@ -939,28 +956,32 @@
     # -- zones
 
     def home_of(self, job: Job) -> str | None:
-        """The zone whose workers alone a job is placed on for now; None: any.
+        """The zone whose workers alone a job is placed on for now; None: any, for good.
 
-        What is left of its slack, less what starts take longer at home, is the chance of starting there in
-        time; else it loses what that is worth. It leaves once this costs more, or no worker is there.
+        It leaves once waiting there costs more than crossing, or no worker is there.
         """
-        zone = self.s.zone
         if not self.s.price_cross_zone or not job.home:
             return None
-        pool = self.pools.get((job.spec.shape, zone, None, job.spec.name if self.by_class else None))
-        if pool is not None and pool.members:
-            share, slack = 1.0 - job.spec.late_worth, job.slack
-            left = self.latest_start(job) - self.now
-            left -= min(max(0.0, left), max(0.0, self.starts[True] - self.starts[False]))
-            if left < 0.0:  # it is late: at stake is what it still earns, until its deadline
-                share, slack = job.spec.late_worth, job.deadline - job.aim_at
-                left += slack
-            stake = self.worth(job) * max(job.work, 1.0) * share
-            risk = 1.0 - left / max(slack, 1.0)
-            if CROSS_STAKE * stake * risk <= self.s.price_cross_zone * self.worth_mean:
-                return zone
-        job.home = False
-        return None
+        pool = self.pools.get((job.spec.shape, self.s.zone, None, job.spec.name if self.by_class else None))
+        job.home = pool is not None and pool.members > 0 and self.now < self.leaves_at(job)
+        return self.s.zone if job.home else None
+
+    def leaves_at(self, job: Job) -> float:
+        """From when on waiting in our own zone costs a job more than crossing.
+
+        What is left of its slack, less what starts take longer at home, is the chance of starting there in
+        time; else it loses what that is worth. Late, it loses what it still earns, until its deadline.
+        """
+        latest, late_worth = self.latest_start(job), job.spec.late_worth
+        share = max(1.0 - late_worth, WAIT_STAKE)
+        stake = max(CROSS_STAKE * self.worth(job) * max(job.work, 1.0), 1e-9)
+        price = self.s.price_cross_zone * self.worth_mean
+        if self.now < latest and price < stake * share:
+            longer = max(0.0, self.starts[True] - self.starts[False])
+            return latest - (1.0 - price / (stake * share)) * max(job.slack, 1.0) - longer
+        if price < stake * late_worth:
+            return latest + price / (stake * late_worth) * (job.deadline - job.aim_at)
+        return math.inf
 
     def share_scale(self, tenant: str | None) -> float:
         """What is left of the worth of a request by this tenant: less beyond its share, of which ours is an
@@ -1005,10 +1026,15 @@
 
     def gather_job(self, job: Job) -> None:
         """Let a job wait for the next round of its kind: first tries and retries alike."""
-        kind = round_kind(job, self.by_class, self.home_of(job))
+        home = self.home_of(job)
+        kind = round_kind(job, self.by_class, home)
         waiting = self.gathering.setdefault(kind, Gathering())
         waiting.fresh += 1
+        self.waits += 1
+        job.wait = self.waits
         self.wait(waiting, job)
+        if home is not None and (leaves := self.leaves_at(job)) < job.deadline:
+            heapq.heappush(self.leaving, (leaves, job.id, job.wait, job))
         waiting.due = min(waiting.due, self.now + self.gather)
 
     def send(self, job: Job, worker: Worker) -> None:
@@ -1026,6 +1052,7 @@
         attempt = Attempt(job, number, worker, sent, self.expected_run(worker, job))
         attempt.usual = max(attempt.expected, self.work.get(job.spec.name, 0.0) * worker.shape.slow)
         job.out.append(attempt)
+        job.wait = 0
         self.attempts[job.id, number] = attempt
         worker.out[job.id, number] = attempt
         if self.s.tells_start:
@@ -1100,6 +1127,7 @@
             late = self.now - attempt.sent
             home = attempt.worker.zone == self.s.zone
             self.starts[home] += SHAPE_GAIN * (late - self.starts[home])
+            self.hear_start(late)
             if self.learns_slots() and attempt.over and late > START_LATE:
                 attempt.worker.shape.misses += 1  # started once another had ended: there is no slot more
         elif event.share > 0:
@@ -1265,7 +1293,7 @@
             first = other.job.spec is attempt.job.spec and other.job.need <= attempt.job.need
             if not (first or self.s.starts_in_order):
                 continue
-            if other.started < 0 and not other.lost and other.sent + SILENT <= self.now:
+            if other.started < 0 and not other.lost and other.sent + self.silence() <= self.now:
                 other.lost = True
                 worker.ours -= other.job.need
                 self.ours -= other.job.need
@@ -1276,12 +1304,13 @@
         connection that fell silent; one that waits its turn stays."""
         while self.unstarted:
             attempt = self.unstarted[0]
-            if not self.settled(attempt) and self.now < attempt.sent + SILENT:
+            if not self.settled(attempt) and self.now < attempt.sent + self.silence():
                 break
             self.unstarted.popleft()
             if self.settled(attempt):
                 continue
             job, worker = attempt.job, attempt.worker
+            self.hear_start(math.inf)
             mute = worker.heard <= attempt.sent
             if mute:
                 self.rest(worker)
@@ -1294,6 +1323,16 @@
             if again and (mute or attempt.lost):
                 self.actions.append(api.Cancel(job.id, attempt.number))
 
+    def hear_start(self, took: float) -> None:
+        """The median of what starts take: a fifth of the workers gone silent hardly moves it."""
+        step = 1.0 + SHAPE_GAIN
+        self.start = max(1.0, self.start * step if took > self.start else self.start / step)
+
+    def silence(self) -> float:
+        """How long without a told start shows that an attempt is lost: far longer than starts take here.
+        Where queues are long, called off sooner it would have waited in vain, and wait again elsewhere."""
+        return max(SILENT, STARTS * self.start)
+
     def settled(self, attempt: Attempt) -> bool:
         """Whether there is nothing to find out of an attempt: it has started or ended."""
         return attempt.started >= 0 or (attempt.job.id, attempt.number) not in self.attempts
@@ -1318,7 +1357,7 @@
         if self.expiry:
             due = min(due, self.expiry[0][0])
         if self.unstarted:
-            due = min(due, self.unstarted[0].sent + SILENT)
+            due = min(due, self.unstarted[0].sent + self.silence())
         due = max(min(due, self.ask_at), self.now)
         if self.asked_at > -math.inf:
             due = min(due, self.asked_at + self.s.ask_within + self.s.tick)
@@ -1333,40 +1372,3 @@
         """The workers that are sent nothing now because attempts there failed."""
         resting = (self.workers.get(name) for _, name in self.resting)
         return {w.name for w in resting if w is not None and w.rest_until > now}
-
-    def explain_worker(self, name: str) -> api.Facts:
-        """Why a worker ranks as it does now; changes nothing."""
-        worker = self.workers.get(name)
-        if worker is None:
-            return {"known": False}
-        height, _ = self.load(worker, 1.0)
-        return {
-            "known": True,
-            "state": worker.state.value,
-            "ready": worker.ready,
-            "height": height,
-            "ours": worker.ours,
-            "others": self.others(worker),
-            "slots": self.slots(worker),
-            "slowness": self.slowness(worker),
-            "warmth": self.warmth(worker),
-            "failures_in_a_row": worker.failures,
-            "rests_for": max(0.0, worker.rest_until - self.now),
-            "on_trial": worker.trial,
-        }
-
-    def explain_request(self, request: int) -> api.Facts:
-        """Where an open request stands, and what may still be done with it."""
-        job = self.jobs.get(request)
-        if job is None:
-            return {"open": False}
-        return {
-            "open": True,
-            "attempts": job.sends,
-            "out_at": [a.worker.name for a in job.out],
-            "may_have_run_at": [a.worker.name for a in job.risky],
-            "may_send": may_send(job, self.s, self.now),
-            "may_refuse": may_refuse(job),
-            "past_latest_start": self.latest_start(job) < self.now,
-            "time_left": job.deadline - self.now,
-        }
--- a/eiderpin/interface.py
+++ b/eiderpin/interface.py
@@ -373,4 +373,4 @@
 
 Action: TypeAlias = Send | Cancel | Refuse | Fail | SetTimer | Probe | Watch | FetchList | Log
 
-Facts: TypeAlias = Mapping[str, object]  # answers of `Dispatcher.explain_*`
+Facts: TypeAlias = Mapping[str, object]  # answers of `eiderpin.explain`
