Let the test that grows a store read its members while one is added

Cause: the thread that writes walked the cluster's dictionary while the test put a member into it: RuntimeError, the thread ended, 'waited in vain for writes to go on'. Now it walks a copy.

--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -206,7 +206,7 @@
             def load() -> None:
                 mine = it.asking(20.0, "m0")
                 while not stop.is_set():
-                    mine.doors = [p.door for p in it.all.values() if p.alive]
+                    mine.doors = [p.door for p in list(it.all.values()) if p.alive]
                     done.append(mine.put(f"k{len(done)}", b"v")["revision"])
 
             thread = threading.Thread(target=load, daemon=True)
