Give what dispatchers do together a package of its own, and read parts below it

Change: outcomes.py, shared_state.py and ownership.py are in eiderpin/fleet/; what the file of parts says of the store and of durable jobs is read in eiderpin/parts/, which nothing above it has to be imported for. No change of behaviour: the tests of platform, command and store pass; on the platform none of either package is imported (tests/test_platform.py looks).

--- a/benchmarks/durable.py
+++ b/benchmarks/durable.py
@@ -147,7 +147,7 @@
 RECOVER = """
 import json, resource, sys, time
 from eiderpin import configuration, service
-from eiderpin.jobs.options import Options
+from eiderpin.parts.durable import Options
 config = configuration.load(sys.argv[1], "")
 begun = time.perf_counter()
 config.durable = Options(sys.argv[2], frozenset(["result-post"]))
--- a/eiderpin/configuration.py
+++ b/eiderpin/configuration.py
@@ -15,9 +15,9 @@
 from eiderpin.net import discovery
 
 if TYPE_CHECKING:
-    from eiderpin.jobs.options import Options
     from eiderpin.net.static_list import Listed
-    from eiderpin.store.options import Options as StoreOptions
+    from eiderpin.parts.durable import Options
+    from eiderpin.parts.store import Options as StoreOptions
 
 FRONTS = "deploy/fronts.json"  # beside the program: which further fronts listen, and where
 EXTRA, EXTRA_SHARE = 48, 1 / 6  # edge connections past those that wait for jobs: so many, or this share
@@ -77,12 +77,12 @@
         said: Any = orjson.loads(text)
         for name in said:
             if name == "durable":
-                from eiderpin.jobs import options  # what is off is not imported
+                from eiderpin.parts import durable as options  # what is off is not imported
 
                 config.durable = options.read(said[name], [c.name for c in config.settings.classes])
                 continue
             if name == "store":
-                from eiderpin.store import options as store_options
+                from eiderpin.parts import store as store_options
 
                 once = [c.name for c in config.settings.classes if c.repeat is not api.Repeat.FREE]
                 config.store = store_options.read(said[name], config.name, once)
--- a/eiderpin/ownership.py
+++ b/eiderpin/fleet/ownership.py
@@ -17,11 +17,11 @@
 from eiderpin.jobs.elsewhere import Elsewhere
 from eiderpin.jobs.keeper import JobKeeper
 from eiderpin.jobs.ledger import BrokenRule
-from eiderpin.jobs.options import Options
 from eiderpin.jobs.recovery import recover
 from eiderpin.net.edge import EdgeConnection
 from eiderpin.net.loop import READ, Loop
 from eiderpin.net.workers import HttpWorkers
+from eiderpin.parts.durable import Options
 
 UNREADABLE = (Locked, BadFormat, Damaged, BrokenRule, OSError)
 ASK_EVERY = 100.0  # ms between looks whether our predecessor has given the ledger up ...
--- a/eiderpin/jobs/elsewhere.py
+++ b/eiderpin/jobs/elsewhere.py
@@ -7,7 +7,7 @@
 from eiderpin.core.flows import Answer, Flow
 from eiderpin.core.schedulings import Scheduling
 from eiderpin.interface import Outcome
-from eiderpin.jobs.options import Options
+from eiderpin.parts.durable import Options
 
 
 class Elsewhere:
--- a/eiderpin/jobs/keeper.py
+++ b/eiderpin/jobs/keeper.py
@@ -20,8 +20,8 @@
 from eiderpin.durable.log import Log, NotWritable
 from eiderpin.jobs import records
 from eiderpin.jobs.ledger import Ledger, MayNotRun, asks_same
-from eiderpin.jobs.options import Options
 from eiderpin.jobs.records import Accepted, AnyRecord, Ended, Opened, Released
+from eiderpin.parts.durable import Options
 
 log = logging.getLogger("eiderpin")
 
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -34,15 +34,15 @@
 from eiderpin.net.workers import HttpWorkers
 
 if TYPE_CHECKING:
-    from eiderpin.jobs.options import Options
+    from eiderpin.fleet.ownership import Ownership
     from eiderpin.net.agent_check import AgentCheck
     from eiderpin.net.gearman_front import GearmanFront
     from eiderpin.net.handover import Handover
     from eiderpin.net.management import Management
     from eiderpin.net.static_list import StaticList
-    from eiderpin.ownership import Ownership
+    from eiderpin.parts.durable import Options
+    from eiderpin.parts.store import Options as StoreOptions
     from eiderpin.store.host import StoreHost
-    from eiderpin.store.options import Options as StoreOptions
 
 LINGER = 600.0  # ms after SIGTERM in which new connections may still come
 SETTLE = 400.0  # ms after a drain in which the front may still send new clients: idle ones are not yet closed
@@ -142,7 +142,7 @@
     def own_ledger(self, options: Options) -> Ownership:
         """Raises `ConfigError` where the ledger of durable jobs cannot be had."""
         try:
-            from eiderpin import ownership
+            from eiderpin.fleet import ownership
         except ModuleNotFoundError as error:
             text = f"durable: {error.name} is not installed: pip install 'eiderpin[durable]'"
             raise ConfigError(text) from None
@@ -160,7 +160,7 @@
         Raises `ConfigError` where that can't be."""
         try:
             from eiderpin.durable.files import Locked
-            from eiderpin.shared_state import SharedState
+            from eiderpin.fleet.shared_state import SharedState
             from eiderpin.store import door, host
         except ModuleNotFoundError as error:
             text = f"store: {error.name} is not installed: pip install 'eiderpin[durable]'"
@@ -180,7 +180,7 @@
                 self.management.parts["store"] = door.Elsewhere()
             if options.outcomes:
                 from eiderpin.jobs import elsewhere
-                from eiderpin.jobs import options as job_options
+                from eiderpin.parts import durable as job_options
 
                 self.core.keeper = elsewhere.Elsewhere(job_options.Options("", options.outcomes))
             return
@@ -192,7 +192,7 @@
             self.store, self.core, options.name, self.about, self.take_shared, self.say, warn
         )
         if options.outcomes:
-            from eiderpin.outcomes import Outcomes
+            from eiderpin.fleet.outcomes import Outcomes
 
             began = int(self.begun_at)
             self.core.keeper = Outcomes(
--- a/eiderpin/store/backup.py
+++ b/eiderpin/store/backup.py
@@ -13,8 +13,8 @@
 from eiderpin.configuration import replace_file
 from eiderpin.durable.files import Files
 from eiderpin.durable.log import Log
+from eiderpin.parts.store import NAME, address
 from eiderpin.store.messages import Config, Hard, Snapshot
-from eiderpin.store.options import NAME, address
 from eiderpin.store.records import Born, Restored, whole
 from eiderpin.store.state import Store
 
--- a/eiderpin/store/door.py
+++ b/eiderpin/store/door.py
@@ -14,10 +14,10 @@
 import orjson
 
 from eiderpin.net.management import Call
+from eiderpin.parts.store import NAME, address
 from eiderpin.store import state
 from eiderpin.store.host import StoreHost
 from eiderpin.store.member import Unavailable, Watch
-from eiderpin.store.options import NAME, address
 from eiderpin.store.raft import NotLeader, Refused
 from eiderpin.store.state import (
     Answer,
--- a/eiderpin/store/host.py
+++ b/eiderpin/store/host.py
@@ -11,9 +11,9 @@
 from eiderpin.durable.log import Log, NotWritable
 from eiderpin.durable.reading import Damaged
 from eiderpin.net.loop import READ, Loop
+from eiderpin.parts.store import Options
 from eiderpin.store.member import TICK, Member
 from eiderpin.store.messages import Config, Hard, Message, Snapshot
-from eiderpin.store.options import Options
 from eiderpin.store.raft import Role
 from eiderpin.store.records import Born, Restored, whole
 from eiderpin.store.transport import Transport
--- a/eiderpin/store/transport.py
+++ b/eiderpin/store/transport.py
@@ -17,8 +17,8 @@
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Deadline
 from eiderpin.net.loop import Connection, Listener, Loop
+from eiderpin.parts.store import address
 from eiderpin.store.messages import Message
-from eiderpin.store.options import address
 
 MAGIC = b"EIDRAFT\n"
 VERSION = 1
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -14,8 +14,8 @@
 
 from eiderpin import configuration, logs
 from eiderpin.configuration import ConfigError
-from eiderpin.jobs import options
 from eiderpin.net.static_list import read_workers
+from eiderpin.parts import durable as options
 from tests.standins import ROOT, SETTINGS, Discovery, HttpWorker, Program, http_call, running, wait_for
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -101,8 +101,8 @@
 while time.monotonic() < until:
     service.turn()
 import threading
-off = ("eiderpin.jobs", "eiderpin.durable", "eiderpin.store", "eiderpin.shared_state", "eiderpin.outcomes",
-       "eiderpin.ownership", "eiderpin.net.gearman", "eiderpin.net.agent_check", "eiderpin.net.handover",
+off = ("eiderpin.jobs", "eiderpin.durable", "eiderpin.store", "eiderpin.fleet", "eiderpin.parts",
+       "eiderpin.net.gearman", "eiderpin.net.agent_check", "eiderpin.net.handover",
        "eiderpin.net.management", "eiderpin.net.static_list", "eiderpin.cli", "msgspec", "zstandard",
        "crc32c", "click")
 print(sorted(m for m in sys.modules if m.startswith(off)), threading.active_count())
