Fence an earlier life of a dispatcher, and begin lost clusters anew by generation

Change. fleet/incarnation.py (pure): a process reads and claims `incarnations/NAME`; the revision at which that is committed, with the store's generation, is its incarnation, and its writes (presence, hints, claims and outcomes of jobs) are carried out only while the document is as it left it. A fenced process says so: `drain` to balancers, `fail drain, fenced` at the door, `store.fenced`. `store restore` begins the next generation, also from the directory of a member that has ended; members of another generation are refused, one with an empty log comes into it, and a watch that goes on from a revision of before is told to begin anew. A disk that is retired is told so when it greets, and its connections are closed.

Measured: tests/test_incarnation.py freezes one of three dispatchers, gives its name to another and wakes it: fenced within 10 s, a result-post at it turned down before anything is sent; tests/test_identity.py loses a majority and goes on from what one has.

--- a/eiderpin/cli/store.py
+++ b/eiderpin/cli/store.py
@@ -57,12 +57,14 @@
     if as_json:
         click.echo(json.dumps(said, indent=1))
         return
-    for name in ("name", "cluster", "role", "leader", "term", "revision", "documents", "bytes", "last",
-                 "commit", "applied", "snapshot"):  # fmt: skip
+    for name in ("name", "cluster", "generation", "disk", "role", "leader", "term", "revision", "documents",
+                 "bytes", "last", "commit", "applied", "snapshot"):  # fmt: skip
         click.echo(f"{name:10} {said[name] or '-'}")
     for name in ("disk_fails", "cut_off", "removed"):
         if said[name]:
             click.echo(f"{name:10} yes")
+    if said["waits_for"]:
+        click.echo(f"{'waits for':10} {', '.join(said['waits_for'])}")
     _members(said)
 
 
@@ -194,7 +196,7 @@
 def add(doors: str, name: str, address: str, within: float) -> None:
     """Add a member; it votes once it has caught up. Start it with `join` set."""
     with asking(doors, within) as s:
-        _members(s.ask("add", name=name, address=address))
+        _members(s.ask("add", within, name=name, address=address))
 
 
 @store.command()
@@ -224,7 +226,7 @@
 
     with asking(doors) as s:
         image = s.snapshot()
-    backup.save(file, image)
+    backup.save(file, image, s.generation)
     click.echo(f"{len(image)} bytes")
 
 
@@ -232,11 +234,12 @@
 @click.argument("file", type=click.Path(exists=True))
 @click.argument("directory", type=click.Path())
 @click.option("--name", required=True, help="The member that the directory is for.")
-@click.option("--cluster", required=True, help="The new cluster's name: another than the old one's.")
+@click.option("--cluster", required=True, help="The new cluster's name; it may be the old one's.")
 @click.option("--member", "rows", multiple=True, metavar="NAME=HOST:PORT", help="Each first member of it.")
 def restore(file: str, directory: str, name: str, cluster: str, rows: tuple[str, ...]) -> None:
     """Make DIRECTORY that of a member of a new cluster that begins with FILE; once for each of its
-    members."""
+    members. FILE is a snapshot, or the directory of a member that has ended, where a majority is lost. The
+    new cluster is of the next generation: members of the old one are refused."""
     from eiderpin.store import backup
 
     try:
--- a/eiderpin/cli/workers.py
+++ b/eiderpin/cli/workers.py
@@ -110,4 +110,5 @@
     for row in rows:
         said = json.loads(base64.b64decode(row["value"]))
         name = row["name"].removeprefix(PRESENT)
-        click.echo(f"{name:16} {said['state']:6} {said['edge']:22} {said['version']}")
+        life = said.get("incarnation") or "-"
+        click.echo(f"{name:16} {said['state']:6} {said['edge']:22} {said['version']:8} {life}")
--- a/eiderpin/fleet/outcomes.py
+++ b/eiderpin/fleet/outcomes.py
@@ -13,13 +13,14 @@
 from collections.abc import Callable
 
 import msgspec
-import orjson
 
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.durability import OtherJob
 from eiderpin.core.flows import FAILED, Answer, Flow, Verdict
 from eiderpin.core.schedulings import Scheduling
+from eiderpin.fleet import incarnation
+from eiderpin.fleet.incarnation import Incarnation
 from eiderpin.interface import Outcome
 from eiderpin.jobs.ledger import fingerprint
 from eiderpin.store import state
@@ -35,7 +36,7 @@
 
 
 class Claim(msgspec.Struct, array_like=True, frozen=True):
-    by: str  # dispatcher and when it began
+    by: str  # dispatcher and its incarnation
     print: bytes  # of target and body
     verdict: str = ""  # empty: under way
     result: bytes = b""
@@ -46,10 +47,9 @@
     little longer."""
 
     def __init__(
-        self, host: StoreHost, core: Dispatcher, classes: frozenset[str], keep: float, name: str, began: int
+        self, host: StoreHost, core: Dispatcher, classes: frozenset[str], keep: float, life: Incarnation
     ) -> None:
-        self.host, self.core, self.classes, self.keep = host, core, classes, keep
-        self.me = f"{name}/{began}"
+        self.host, self.core, self.classes, self.keep, self.life = host, core, classes, keep, life
         self.number = 0
         self.claimed: set[int] = set()  # jobs of ours
         self.unsent: OrderedDict[str, None] = OrderedDict()  # claimed perhaps, and nothing of them was sent
@@ -74,6 +74,21 @@
         member = self.host.member
         member.submit("", member.rng.getrandbits(53), op, done, self.core.clock.now(), within)
 
+    @property
+    def me(self) -> str:
+        return f"{self.life.name}/{self.life}"
+
+    def submit_guarded(
+        self, change: state.Transaction, done: Callable[[state.Answer | Exception], None], within: float
+    ) -> None:
+        """Carried out only while we are the latest process by our name."""
+        try:
+            change = self.life.guarded(change)
+        except ValueError as error:
+            done(error)
+            return
+        self.submit(change, done, within)
+
     # -- what the core asks
 
     def covers_class(self, cls: str) -> bool:
@@ -99,14 +114,10 @@
         return document.revision if document is not None else 0
 
     def alive(self, by: str) -> bool:
-        name, _, began = by.rpartition("/")
-        document = self.host.member.store.get(PRESENT + name)
-        if document is None:
-            return False
-        try:
-            return str(orjson.loads(document.value).get("began")) == began
-        except (orjson.JSONDecodeError, AttributeError):
-            return False
+        name, store = by.rpartition("/")[0], self.host.member.store
+        document = store.get(incarnation.PREFIX + name)
+        latest = document is not None and incarnation.holds(by, self.life.generation, document.revision)
+        return latest and store.get(PRESENT + name) is not None
 
     def kept(self, flow: Flow) -> Answer | None:
         claim = self.claim_of(flow)
@@ -141,7 +152,7 @@
         if flow.job in self.claimed:
             send()
             return
-        if not self.lease_number:
+        if not self.lease_number or self.life.standing is not incarnation.Standing.HELD:
             self.give_up(scheduling)
             return
         name = self.name_of(flow)
@@ -167,7 +178,7 @@
         put = state.Put(name, value, self.lease_number)
         left = max(50.0, flow.deadline - self.core.clock.now())
         claim = state.Transaction([put], [state.Compare(name, left_over)])
-        self.submit(claim, done, min(CLAIM_WITHIN, left))
+        self.submit_guarded(claim, done, min(CLAIM_WITHIN, left))
 
     def give_up(self, scheduling: Scheduling) -> None:
         """It can't be claimed, and nothing of it has been sent."""
@@ -196,7 +207,7 @@
             # It has not run: whoever asks again may have it run, here or elsewhere.
             self.note_unsent(name)
             gone = state.Transaction([state.Delete(name)], [state.Compare(name, self.revision(name))])
-            self.submit(gone, _nobody, CLAIM_WITHIN)
+            self.submit_guarded(gone, _nobody, CLAIM_WITHIN)
             tell(answer)
             return
         claim = Claim(
--- a/eiderpin/fleet/shared_state.py
+++ b/eiderpin/fleet/shared_state.py
@@ -11,6 +11,7 @@
 from eiderpin import interface as api
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.learned import Learned
+from eiderpin.fleet.incarnation import Incarnation, Standing
 from eiderpin.store import hints, orders
 from eiderpin.store.host import StoreHost
 from eiderpin.store.names import CURRENT, PRESENT
@@ -40,9 +41,13 @@
         self.hint: tuple[float, Learned] | None = None  # the newest, until the workers are known
         self.hints_until = core.clock.now() + HINTS_WITHIN
         self.learn_at = core.clock.now() + LEARN_EVERY
+        token = f"{host.member.rng.getrandbits(64):016x}"
+        self.life = Incarnation(name, token, host.member.born.generation)
+        self.on_fenced: Callable[[], None] = lambda: None
         self.lease = 0
         self.told: dict[str, Any] = {}
         self.busy = False  # a command of ours is on its way
+        self.follow(self.life.document, lambda rest, value: None if rest else self.named(value))
         self.follow(orders.PREFIX, self.ordered)
         self.follow(CURRENT, self.configured)
         self.follow(hints.PREFIX, self.hinted)
@@ -75,6 +80,44 @@
         except (Compacted, Refused) as error:
             self.warn(f"store: {prefix} is not followed: {error}")
 
+    # -- which life of ours this is
+
+    @property
+    def fenced(self) -> bool:
+        return self.life.standing is Standing.FENCED
+
+    def named(self, value: bytes | None, refused: bool = False) -> None:
+        document = self.host.member.store.get(self.life.document)
+        if self.life.heard(value, document.revision if document is not None else 0, refused):
+            self.tell_fenced()
+
+    def tell_fenced(self) -> None:
+        self.host.counters.add("store.fenced")
+        self.warn(f"store: fenced: another process has begun as {self.name}; this one is to be ended")
+        self.on_fenced()
+
+    def begin(self) -> None:
+        """Claim our incarnation."""
+        member, now = self.host.member, self.core.clock.now()
+
+        def read(error: Exception | None) -> None:
+            self.busy = False
+            if error is None:
+                document = member.store.get(self.life.document)
+                self.life.read(document.revision if document is not None else 0)
+
+        def claimed(answer: Answer) -> None:
+            document = member.store.get(self.life.document)
+            self.named(document.value if document is not None else None, refused=not answer.ok)
+            if self.life.standing is Standing.HELD:
+                self.say(f"store: this is {self.name}/{self.life}")
+
+        if self.life.seen is None:
+            self.busy = True
+            member.read(read, now, WITHIN)
+        else:
+            self.submit(self.life.claim(), claimed)
+
     # -- orders for workers
 
     def ordered(self, name: str, value: bytes | None) -> None:
@@ -123,13 +166,13 @@
             self.core.tell(api.Beside({}, self.hint[1]))
             self.hint = None
             self.host.counters.add("store.hints")
-        if now < self.learn_at or self.busy:
+        if now < self.learn_at or self.busy or self.life.standing is not Standing.HELD:
             return
         self.learn_at = now + LEARN_EVERY
         value = hints.pack(self.core.module.learned(), now)
         if value is not None:
             put = Put(f"{hints.PREFIX}{self.name}", value)
-            self.submit(Transaction([put]), lambda answer: None)
+            self.submit(self.life.guarded(Transaction([put])), lambda answer: None)
 
     # -- who is there
 
@@ -143,8 +186,13 @@
     def beat(self) -> None:
         """Hold our lease, and keep what is said of us true."""
         self.core.deadlines.set(self.core.clock.now() + KEEP_EVERY, self.beat)
+        if self.host.replaced and self.life.replaced():
+            self.tell_fenced()
         self.learn()
-        if self.busy or self.host.member.failed:
+        if self.busy or self.host.member.failed or self.fenced:
+            return
+        if self.life.standing is Standing.UNKNOWN:
+            self.begin()
             return
         about = self.all_about()
         if not self.lease:
@@ -155,7 +203,7 @@
             self.submit(Keep(self.lease), self.kept)
 
     def all_about(self) -> dict[str, Any]:
-        return {**self.about(), "config": self.config}
+        return {**self.about(), "config": self.config, "incarnation": str(self.life)}
 
     def submit(self, op: Operation, done: Callable[[Answer], None]) -> None:
         def answered(answer: Answer | Exception) -> None:
@@ -176,11 +224,12 @@
         def done(answer: Answer) -> None:
             if answer.error:
                 self.lease = 0  # it has ended while we were cut off
-            else:
+            elif answer.ok:
                 self.told = about
 
         put = Put(f"{PRESENT}{self.name}", orjson.dumps(about), self.lease)
-        self.submit(Transaction([put]), done)
+        if not self.fenced:
+            self.submit(self.life.guarded(Transaction([put])), done)
 
     def kept(self, answer: Answer) -> None:
         if answer.error:
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -35,6 +35,7 @@
 
 if TYPE_CHECKING:
     from eiderpin.fleet.ownership import Ownership
+    from eiderpin.fleet.shared_state import SharedState
     from eiderpin.net.agent_check import AgentCheck
     from eiderpin.net.gearman_front import GearmanFront
     from eiderpin.net.handover import Handover
@@ -80,6 +81,7 @@
         self.begun_at = self.clock.now()
         self.ledger = self.own_ledger(config.durable) if config.durable is not None else None
         self.store: StoreHost | None = None
+        self.shared_state: SharedState | None = None
         self.gearman: GearmanFront | None = None
         self.agent_check: AgentCheck | None = None
         self.management: Management | None = None
@@ -191,13 +193,12 @@
         self.shared_state = SharedState(
             self.store, self.core, options.name, self.about, self.take_shared, self.say, warn
         )
+        self.shared_state.on_fenced = self.changed
         if options.outcomes:
             from eiderpin.fleet.outcomes import Outcomes
 
-            began = int(self.begun_at)
-            self.core.keeper = Outcomes(
-                self.store, self.core, options.outcomes, options.keep, options.name, began
-            )  # fmt: skip
+            life = self.shared_state.life
+            self.core.keeper = Outcomes(self.store, self.core, options.outcomes, options.keep, life)
 
     def about(self) -> dict[str, Any]:
         """What other dispatchers and operators may know of us."""
@@ -248,7 +249,7 @@
             if front is not None and front.listener.on is not accepts:
                 (front.listener.start if accepts else front.listener.pause)()
         ending = self.stopping_since is not None or self.handed_over
-        whom = Away.ALL if ending else Away.CLIENTS if self.drained else Away.NOBODY
+        whom = Away.ALL if ending else Away.CLIENTS if self.drained or self.fenced else Away.NOBODY
         self.edge.send_away(whom, 0.0 if ending else SETTLE)
         if self.gearman is not None:
             self.gearman.send_away(whom is not Away.NOBODY, SETTLE)
@@ -279,6 +280,11 @@
             "holds": self.core.module.beside().holds, "sockets": used, "readiness": self.readiness(),
         }  # fmt: skip
 
+    @property
+    def fenced(self) -> bool:
+        """Whether another process has begun by our name in the store."""
+        return self.shared_state is not None and self.shared_state.fenced
+
     # -- what balancers and operators ask
 
     def readiness(self) -> str:
@@ -286,7 +292,7 @@
         welcome, and the share of what we can hold that is free."""
         if self.handed_over and self.handover is not None and self.handover.newer is not None:
             return self.handover.newer.readiness
-        if self.drained or self.stopping_since is not None:
+        if self.drained or self.fenced or self.stopping_since is not None:
             return "drain"
         if self.ledger is not None and not self.ledger.ready:
             return "down"
@@ -301,6 +307,8 @@
         can = self.stopping_since is None and state != "down"
         if self.store is not None and self.store.cut_off:
             state += ", cut off from the store"
+        if self.fenced:
+            return f"fail {state}, fenced: another process has this one's name"
         return f"ok {state}" if can else f"fail {state}"
 
     def show_stat(self) -> str:
--- a/eiderpin/store/asking.py
+++ b/eiderpin/store/asking.py
@@ -30,6 +30,7 @@
     def __init__(self, doors: list[str], within: float = 10.0) -> None:
         self.doors, self.within = list(doors), within
         self.client, self.number = "", 0
+        self.generation = 0  # of the store that the last watch or snapshot was of; 0: none yet
 
     def ask(self, op: str, attempt: float = ATTEMPT, **said: Any) -> dict[str, Any]:
         """One question that may be asked twice without harm. Raises `Failed`."""
@@ -65,16 +66,20 @@
 
     def watch(self, prefix: str, after: int | None = None) -> Iterator[dict[str, Any]]:
         """Events from after revision `after` on (None: from now on), each once, at whichever member answers.
-        Raises `Failed` (`compacted`: begin anew)."""
+        Raises `Failed` (`compacted`: begin anew; also where the store was restored and its revisions went
+        back)."""
         last = after
         while True:
             asked: dict[str, Any] = {"op": "watch", "prefix": prefix}
             if last is not None:
                 asked["after"] = last
+            if self.generation:
+                asked["generation"] = self.generation
             try:
                 for said in self._lines(self.doors[0], asked):
                     if not said["ok"]:
                         raise Failed(said["kind"], said["error"])
+                    self.generation = said.get("generation", self.generation)
                     # A revision's events come in one line, so none of them can be cut off from the others.
                     yield from said.get("events", ())
                     last = said["revision"]
@@ -103,6 +108,7 @@
                         raise Failed(head.get("kind", "unreachable"), head.get("error", "it closed"))
                     image = b"".join(base64.b64decode(line) for line in file)
                 if len(image) == head["bytes"]:
+                    self.generation = head.get("generation", 1)
                     return image
             except OSError:
                 pass
--- a/eiderpin/store/door.py
+++ b/eiderpin/store/door.py
@@ -157,6 +157,10 @@
         member = self.host.member
         prefix, after = text(asked, "prefix", ""), number(asked, "after", member.store.revision)
         watch: Watch | None = None
+        generation = member.born.generation
+        if number(asked, "generation", generation) != generation:
+            fail(caller, "compacted", f"the store has begun anew: its generation is {generation}")
+            return
 
         def tell(events: list[Event] | None) -> None:
             if events is None:
@@ -172,7 +176,8 @@
 
         caller.wait(None)
         caller.on_gone = gone
-        caller.say(orjson.dumps({"ok": True, "watching": prefix, "revision": after}).decode())
+        said = {"ok": True, "watching": prefix, "revision": after, "generation": generation}
+        caller.say(orjson.dumps(said).decode())
         try:
             watch = member.watch(prefix, after, tell)
         except (Compacted, Refused) as error:
@@ -183,7 +188,8 @@
 
         def then() -> None:
             image = self.host.member.store.image()
-            caller.say(orjson.dumps({"ok": True, "bytes": len(image)}).decode())
+            head = {"ok": True, "bytes": len(image), "generation": self.host.member.born.generation}
+            caller.say(orjson.dumps(head).decode())
             for at in range(0, len(image), PART):
                 caller.say(base64.b64encode(image[at : at + PART]).decode())
             caller.reply("")
--- a/eiderpin/store/host.py
+++ b/eiderpin/store/host.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import os
 import random
-import secrets
 from collections.abc import Callable, Iterable
-from contextlib import suppress
+
+from msgspec.structs import replace
 
 from eiderpin.core.counters import Counters
 from eiderpin.durable.files import Files, Locked
@@ -16,6 +15,7 @@
 from eiderpin.net.loop import READ, Loop
 from eiderpin.parts.store import Options
 from eiderpin.store import identity
+from eiderpin.store.anchor import Anchor
 from eiderpin.store.member import TICK, Member
 from eiderpin.store.messages import Config, Message
 from eiderpin.store.raft import Role
@@ -24,35 +24,9 @@
 
 UNREADABLE = (Locked, BadFormat, Damaged, OSError)
 TRY_AGAIN = 500.0  # ms between looks whether a failed disk has come back
-ANCHOR = "anchor"
 CUT_OFF = 3000.0  # ms without a leader after which a member says that it is cut off
 
 
-class DiskIdentity:
-    """The identity of a directory, and a file in it that a copy can't have alike: its number and the time of
-    its last change are the file system's, and no program sets both."""
-
-    def __init__(self, folder: str) -> None:
-        self.path = os.path.join(folder, ANCHOR)
-
-    def new(self) -> str:
-        return secrets.token_hex(8)
-
-    def make_anchor(self) -> str:
-        with suppress(FileNotFoundError):
-            os.unlink(self.path)
-        os.close(os.open(self.path, os.O_CREAT | os.O_EXCL | os.O_CLOEXEC, 0o400))
-        return self.anchor()
-
-    def anchor(self) -> str:
-        """Raises `OSError`."""
-        try:
-            found = os.stat(self.path)
-        except FileNotFoundError:
-            return self.make_anchor()
-        return f"{found.st_ino}:{found.st_ctime_ns}"
-
-
 class LogDisk:
     """Implements `member.Disk` on `eiderpin.durable`."""
 
@@ -85,8 +59,8 @@
         restored = Restored()
         self.log = Log(Files(options.folder), restored.apply)
         try:
-            disk = DiskIdentity(options.folder)
-            born = restored.born or Born(options.cluster, options.name, disk.new(), disk.anchor())
+            anchor = Anchor(options.folder)
+            born = restored.born or Born(options.cluster, options.name, anchor.new_disk(), anchor.read())
             if (born.cluster, born.name) != (options.cluster, options.name):
                 raise ValueError(
                     f"store.directory {options.folder}: it is that of member {born.name} of cluster "
@@ -101,9 +75,9 @@
             elif new:
                 restored = Restored(born)
             elif not born.disk:  # written before disks had identities
-                born = identity.anew(born, disk.new(), disk.anchor())
-            elif identity.copied(born, disk.anchor()):
-                born = identity.anew(born, disk.new(), disk.make_anchor())
+                born = identity.anew(born, anchor.new_disk(), anchor.read())
+            elif identity.copied(born, anchor.read()):
+                born = identity.anew(born, anchor.new_disk(), anchor.make())
                 warn(
                     f"store.directory {options.folder}: it is a copy of member {born.name}'s, perhaps an old "
                     "one: it has no vote until a leader has taken it in again"
@@ -128,8 +102,11 @@
         self.member = Member(born, restored, LogDisk(self.log), self.send, rng, loop.clock.now())
         self.member.on_config = self.met
         self.begun_at, self.told_missing = loop.clock.now(), False
+        self.replaced = False  # another disk has our name, the others say
         if self.transport is not None:
             self.transport.has_log = lambda: self.member.raft.log.last > 0
+            self.transport.adopt, self.transport.is_retired = self.adopt, self.is_retired
+            self.transport.on_replaced = self.note_replaced
             if self.founding is not None:
                 self.transport.met_disk = self.founding.hear
         self.met(self.member.raft.log.config)
@@ -150,6 +127,20 @@
             self.transport.members({**self.options.members, **config.all()} if not config.voters
                                    else config.all())  # fmt: skip
 
+    def is_retired(self, name: str, disk: str) -> bool:
+        config = self.member.raft.log.config
+        return disk in config.retired and name in config.all()
+
+    def note_replaced(self) -> None:
+        self.replaced = True
+
+    def adopt(self, generation: int) -> None:
+        """With an empty log we come into whatever generation the cluster is in."""
+        self.member.born = replace(self.member.born, generation=generation)
+        self.member.write_all()
+        if self.transport is not None:
+            self.transport.generation = generation
+
     def found(self, now: float) -> None:
         """Begin a new cluster, once all of its first members have been met."""
         founding = self.founding
--- a/eiderpin/store/identity.py
+++ b/eiderpin/store/identity.py
@@ -54,9 +54,12 @@
 
 
 def members(config: Config, voters: dict[str, str], learners: dict[str, str]) -> Config:
-    """The configuration with these members; what is known of their disks stays."""
-    disks = {n: d for n, d in config.disks.items() if n in voters or n in learners}
-    return Config(voters, learners, disks, config.retired)
+    """The configuration with these members; what is known of their disks stays, and the disk of one who goes
+    is retired: whoever comes by that name later is another."""
+    there = {**voters, **learners}
+    disks = {n: d for n, d in config.disks.items() if n in there}
+    gone = [d for n, d in config.disks.items() if n not in there]
+    return Config(voters, learners, disks, [*config.retired, *gone][-MOST_RETIRED:])
 
 
 @dataclass(slots=True)
--- a/eiderpin/store/transport.py
+++ b/eiderpin/store/transport.py
@@ -48,6 +48,7 @@
     refused: str = ""
     disk: str = ""
     has_log: bool = True
+    replaced: bool = False  # another disk has its name
 
 
 _MESSAGES: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
@@ -125,6 +126,8 @@
             if said.refused != self.refused:
                 self.transport.warn(f"member {self.name} at {self.where} refuses us: {said.refused}")
             self.refused = said.refused
+            if said.replaced:
+                self.transport.on_replaced()
             return  # it closes
         self.open, self.wait, self.refused = True, RETRY[0], ""
         self.transport.met_disk(self.name, said.disk, said.has_log)
@@ -165,12 +168,15 @@
         self.loop, self.counters, self.cluster, self.name = loop, counters, cluster, name
         self.disk, self.generation = disk, generation
         self.has_log: Callable[[], bool] = lambda: True
+        self.on_replaced: Callable[[], None] = lambda: None
+        self.is_retired: Callable[[str, str], bool] = lambda name, disk: False
+        self.adopt: Callable[[int], None] = lambda generation: None
         self.met_disk: Callable[[str, str, bool], None] = lambda name, disk, has_log: None
         self.heard, self.rng, self.warn = heard, rng, warn
         self.peers: dict[str, Outgoing] = {}
         self.named: dict[str, str] = {}  # by the configuration
         self.met: dict[str, str] = {}  # those who have come to us
-        self.coming: dict[Connection, None] = {}
+        self.coming: dict[Connection, Hello | None] = {}  # and what it greeted with
         self.listener = Listener(loop, listen, self.taken)
 
     def hello(self, to: str) -> Hello:
@@ -183,6 +189,9 @@
     def members(self, addresses: dict[str, str]) -> None:
         """Whom we may have to send to, beside those who have come to us."""
         self.named = addresses
+        for conn, hello in list(self.coming.items()):
+            if hello is not None and self.is_retired(hello.frm, hello.disk):
+                conn.close()  # it comes again, and is told why it is refused
         addresses = {**self.met, **addresses}
         for name in list(self.peers):
             if addresses.get(name) != self.peers[name].where:
@@ -215,10 +224,12 @@
                     hello = _HELLO.decode(body)
                     why = self.refusal(hello)
                     greeted = True
+                    self.coming[conn] = hello
                     if not why:
                         self.greet(hello)
                     self.loop.deadlines.drop(limit)
-                    conn.write(frame(Welcome(VERSION, why, self.disk, self.has_log())))
+                    replaced = self.is_retired(hello.frm, hello.disk)
+                    conn.write(frame(Welcome(VERSION, why, self.disk, self.has_log(), replaced)))
                     if why:
                         self.counters.add("store.refused")
                         conn.on_data = _ignore
@@ -258,7 +269,11 @@
             return f"it is of cluster {hello.cluster}; here is {self.cluster}"
         if hello.to != self.name:
             return f"it looks for {hello.to}; here is {self.name}"
-        if hello.generation != self.generation:
+        if self.is_retired(hello.frm, hello.disk):
+            return f"another disk has the name {hello.frm} now"
+        if hello.generation > self.generation and not self.has_log():
+            self.adopt(hello.generation)  # we bring nothing of another one
+        elif hello.generation != self.generation and (hello.has_log or hello.generation > self.generation):
             return f"it is of generation {hello.generation} of the cluster; here is {self.generation}"
         return ""
 
