Tell the stages of a start, and take each step of it at once

Need: nothing said how far a dispatcher that comes back has got, nor held back what it asks for; and its start took the store's beat of 1 s for each of three steps.

Change. fleet/comeback.py (pure): blank, listed, alone, caught up, whole, with the share that each asks for and the age of what is known; agent-check and `ready` tell it, `eiderpin dispatchers` shows incarnation, stage and times, `comeback.*_ms` on SIGUSR1, one log event a start. The read, the claim, the lease and the presence follow each other at once, and tries of a start come 50 to 150 ms apart, drawn, until the others know of it.

--- a/eiderpin/cli/workers.py
+++ b/eiderpin/cli/workers.py
@@ -110,5 +110,7 @@
     for row in rows:
         said = json.loads(base64.b64decode(row["value"]))
         name = row["name"].removeprefix(PRESENT)
-        life = said.get("incarnation") or "-"
-        click.echo(f"{name:16} {said['state']:6} {said['edge']:22} {said['version']:8} {life}")
+        life, stage, took = said.get("incarnation") or "-", said.get("stage", "-"), said.get("took", {})
+        steps = " ".join(f"{step} {ms / 1000:.1f} s" for step, ms in took.items())
+        first = f"{name:16} {said['state']:6} {said['edge']:22} {said['version']:8}"
+        click.echo(f"{first} {life:10} {stage}  {steps}")
--- a/eiderpin/fleet/shared_state.py
+++ b/eiderpin/fleet/shared_state.py
@@ -11,6 +11,7 @@
 from eiderpin import interface as api
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.learned import Learned
+from eiderpin.fleet.comeback import Comeback
 from eiderpin.fleet.incarnation import Incarnation, Standing
 from eiderpin.store import hints, orders
 from eiderpin.store.host import StoreHost
@@ -20,6 +21,7 @@
 
 LEASE = 5000.0  # ms after which a dispatcher that says nothing is no longer counted
 KEEP_EVERY = 1000.0
+BEGIN_EVERY = (50.0, 150.0)  # ms between tries of a start, drawn from these so that many do not ask in step
 WITHIN = 900.0
 HINTS_WITHIN = 10_000.0  # ms after our start in which hints of what others have learned are taken
 LEARN_EVERY = 30_000.0  # ms between our own
@@ -44,6 +46,8 @@
         token = f"{host.member.rng.getrandbits(64):016x}"
         self.life = Incarnation(name, token, host.member.born.generation)
         self.on_fenced: Callable[[], None] = lambda: None
+        self.comeback = Comeback(core.clock.now())
+        self.listed: Callable[[], bool] = lambda: False
         self.lease = 0
         self.told: dict[str, Any] = {}
         self.busy = False  # a command of ours is on its way
@@ -105,12 +109,14 @@
             if error is None:
                 document = member.store.get(self.life.document)
                 self.life.read(document.revision if document is not None else 0)
+                self.step()
 
         def claimed(answer: Answer) -> None:
             document = member.store.get(self.life.document)
             self.named(document.value if document is not None else None, refused=not answer.ok)
             if self.life.standing is Standing.HELD:
                 self.say(f"store: this is {self.name}/{self.life}")
+                self.step()  # each step of a start follows the one before at once
 
         if self.life.seen is None:
             self.busy = True
@@ -185,10 +191,16 @@
 
     def beat(self) -> None:
         """Hold our lease, and keep what is said of us true."""
-        self.core.deadlines.set(self.core.clock.now() + KEEP_EVERY, self.beat)
+        wait = KEEP_EVERY if self.told or self.fenced else self.host.member.rng.uniform(*BEGIN_EVERY)
+        self.core.deadlines.set(self.core.clock.now() + wait, self.beat)
         if self.host.replaced and self.life.replaced():
             self.tell_fenced()
         self.learn()
+        self.step()
+
+    def step(self) -> None:
+        """The next thing that is to be said to the store."""
+        self.come_back()
         if self.busy or self.host.member.failed or self.fenced:
             return
         if self.life.standing is Standing.UNKNOWN:
@@ -202,8 +214,22 @@
         else:
             self.submit(Keep(self.lease), self.kept)
 
+    def stage(self) -> str:
+        return self.comeback.stage(self.core.clock.now()).value
+
+    def come_back(self) -> None:
+        """Note how far our start has come, and tell of its end."""
+        now, caught_up = self.core.clock.now(), self.life.seen is not None
+        if self.comeback.note(now, self.listed(), caught_up, bool(self.told)):
+            took = self.comeback.took()
+            for step, ms in took.items():
+                self.host.counters.add(f"comeback.{step}_ms", ms)
+            steps = ", ".join(f"{step} after {ms} ms" for step, ms in took.items())
+            self.say(f"store: {self.name}/{self.life} is whole: {steps}")
+
     def all_about(self) -> dict[str, Any]:
-        return {**self.about(), "config": self.config, "incarnation": str(self.life)}
+        about = {**self.about(), "config": self.config, "incarnation": str(self.life)}
+        return about | {"stage": self.stage(), "took": self.comeback.took()}
 
     def submit(self, op: Operation, done: Callable[[Answer], None]) -> None:
         def answered(answer: Answer | Exception) -> None:
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -194,6 +194,8 @@
             self.store, self.core, options.name, self.about, self.take_shared, self.say, warn
         )
         self.shared_state.on_fenced = self.changed
+        source = self.discovery
+        self.shared_state.listed = lambda: source is None or source.told
         if options.outcomes:
             from eiderpin.fleet.outcomes import Outcomes
 
@@ -299,7 +301,10 @@
         if not self.serving or not any(e.in_service for e in self.core.entries.values()):
             return "down"
         most = min(self.edge.most, self.config.settings.most_held)
-        return f"up {max(1, 100 - 100 * len(self.core.flows) // most)}%"
+        free = 100 - 100 * len(self.core.flows) // most
+        if self.shared_state is not None:  # one that comes back asks for less until it knows enough
+            free = free * self.shared_state.comeback.share(self.clock.now()) // 100
+        return f"up {max(1, free)}%"
 
     def ready(self) -> str:
         """The operators' `ready`: whether this process can serve; one that they drained still can."""
@@ -307,6 +312,8 @@
         can = self.stopping_since is None and state != "down"
         if self.store is not None and self.store.cut_off:
             state += ", cut off from the store"
+        if self.shared_state is not None and (stage := self.shared_state.stage()) != "whole":
+            state += f", coming back: {stage}"
         if self.fenced:
             return f"fail {state}, fenced: another process has this one's name"
         return f"ok {state}" if can else f"fail {state}"
--- a/eiderpin/store/host.py
+++ b/eiderpin/store/host.py
@@ -16,6 +16,7 @@
 from eiderpin.parts.store import Options
 from eiderpin.store import identity
 from eiderpin.store.anchor import Anchor
+from eiderpin.store.log import EntryLog
 from eiderpin.store.member import TICK, Member
 from eiderpin.store.messages import Config, Message
 from eiderpin.store.raft import Role
@@ -76,6 +77,8 @@
                 restored = Restored(born)
             elif not born.disk:  # written before disks had identities
                 born = identity.anew(born, anchor.new_disk(), anchor.read())
+            elif identity.copied(born, anchor.read()) and self.alone(restored):
+                born = identity.anew(born, born.disk, anchor.read())  # it has promised nobody anything
             elif identity.copied(born, anchor.read()):
                 born = identity.anew(born, anchor.new_disk(), anchor.make())
                 warn(
@@ -114,6 +117,11 @@
         loop.selector.register(self.log, READ, lambda mask: self.settle())
         self.tick()
 
+    @staticmethod
+    def alone(restored: Restored) -> bool:
+        """Whether a directory is that of the only voter there is."""
+        return len(EntryLog(restored.snapshot, restored.entries).config.voters) == 1
+
     def send(self, message: Message) -> None:
         if self.transport is not None:
             self.transport.send(message)
--- a/tests/test_identity.py
+++ b/tests/test_identity.py
@@ -278,6 +278,22 @@
     assert fresh.status()["generation"] == 2
 
 
+def test_a_store_of_one_may_be_moved() -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        one = Process(Path(folder), "solo", {}, "")
+        one.parts["store"] = {"directory": str(one.directory)}
+        one.start()
+        try:
+            Asking([one.door], 15.0).put("kept", b"1")
+            one.kill()
+            moved = shutil.copytree(one.directory, one.folder / "moved", copy_function=shutil.copy2)
+            one.parts["store"] = {"directory": str(moved)}
+            one.start()
+            assert Asking([one.door], 15.0).get("kept")[0] == b"1"
+        finally:
+            one.kill()
+
+
 def test_two_processes_by_one_name_leave_the_member_its_place(three: Cluster) -> None:
     leader = three.leader()
     name = sorted(set(three.all) - {leader})[0]
