Let the test of a new generation read what its watch was told before

Cause: a watch that was opened before the loss had events of the old generation still to be read (dispatchers tell of their stages), so its next one was no refusal; seen in a full run. It is read until the refusal.

--- a/tests/test_identity.py
+++ b/tests/test_identity.py
@@ -268,7 +268,8 @@
     # Who followed the old one's revisions is told to begin anew, and does not wait for them to come again.
     store.doors = [one.door]
     with pytest.raises(Failed) as begun:
-        next(watch)
+        for _ in zip(range(200), watch, strict=False):
+            pass  # what was told of the old generation before it ended
     assert begun.value.kind == "compacted"
 
     # One without anything comes in again as a new member.
