Say once what an answer carries, who is named, and how a test begins a cluster

Change: Raft._appended and _snap_back build these answers, replace makes a member's record anew, heard asks whether our name was taken, SharedState.our_document reads value and revision together (an event's value beside a later revision could not belong together before). Behaviour is the same otherwise.

--- a/benchmarks/comeback.py
+++ b/benchmarks/comeback.py
@@ -26,17 +26,18 @@
 from benchmarks import store_rig
 from benchmarks.store_rig import Cluster
 from eiderpin.store.asking import Failed
+from eiderpin.store.names import PRESENT
 
 WITHIN = 60.0  # s for all to be there again
 
 
 def lives(it: Cluster) -> dict[str, str]:
     """Who is there, by the store: name to what tells one life from the next."""
-    rows = it.asking(10.0).ask("range", 0.3, prefix="dispatchers/", most=1000)["documents"]
+    rows = it.asking(10.0).ask("range", 0.3, prefix=PRESENT, most=1000)["documents"]
     found = {}
     for row in rows:
         said = orjson.loads(base64.b64decode(row["value"]))
-        found[row["name"].partition("/")[2]] = str(said.get("incarnation") or said["began"])
+        found[row["name"].removeprefix(PRESENT)] = str(said.get("incarnation") or said["began"])
     return found
 
 
--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -26,8 +26,8 @@
 
 
 BLOCK = 100  # ports that one process hands out; no other one hands out any of these meanwhile
-_block: list[int] = []  # that are left of ours, and then the lock that makes it ours
-_locks: list[int] = []
+_block: list[int] = []  # that are left of ours
+_locks: list[int] = []  # that make our blocks ours, until we end
 
 
 def free_port() -> int:
--- a/eiderpin/fleet/incarnation.py
+++ b/eiderpin/fleet/incarnation.py
@@ -60,11 +60,9 @@
         if token_of(value) == self.token:
             self.standing, self.revision = Standing.HELD, revision
             return False
-        known = self.revision if self.standing is Standing.HELD else revision
-        if not refused and revision <= known and value is not None:
+        taken = self.standing is Standing.HELD and (value is None or revision > self.revision)
+        if not (refused or taken):
             return False  # of an earlier life
-        if value is None and not refused and self.standing is Standing.UNKNOWN:
-            return False
         self.standing = Standing.FENCED
         return True
 
--- a/eiderpin/fleet/shared_state.py
+++ b/eiderpin/fleet/shared_state.py
@@ -51,7 +51,7 @@
         self.lease = 0
         self.told: dict[str, Any] = {}
         self.busy = False  # a command of ours is on its way
-        self.follow(self.life.document, lambda rest, value: None if rest else self.named(value))
+        self.follow(self.life.document, lambda rest, value: None if rest else self.named())
         self.follow(orders.PREFIX, self.ordered)
         self.follow(CURRENT, self.configured)
         self.follow(hints.PREFIX, self.hinted)
@@ -90,9 +90,14 @@
     def fenced(self) -> bool:
         return self.life.standing is Standing.FENCED
 
-    def named(self, value: bytes | None, refused: bool = False) -> None:
+    def our_document(self) -> tuple[bytes | None, int]:
+        """What names the latest life by our name, and its revision, as our member has it."""
         document = self.host.member.store.get(self.life.document)
-        if self.life.heard(value, document.revision if document is not None else 0, refused):
+        return (document.value, document.revision) if document is not None else (None, 0)
+
+    def named(self, refused: bool = False) -> None:
+        value, revision = self.our_document()
+        if self.life.heard(value, revision, refused):
             self.tell_fenced()
 
     def tell_fenced(self) -> None:
@@ -107,13 +112,11 @@
         def read(error: Exception | None) -> None:
             self.busy = False
             if error is None:
-                document = member.store.get(self.life.document)
-                self.life.read(document.revision if document is not None else 0)
+                self.life.read(self.our_document()[1])
                 self.step()
 
         def claimed(answer: Answer) -> None:
-            document = member.store.get(self.life.document)
-            self.named(document.value if document is not None else None, refused=not answer.ok)
+            self.named(refused=not answer.ok)
             if self.life.standing is Standing.HELD:
                 self.say(f"store: this is {self.name}/{self.life}")
                 self.step()  # each step of a start follows the one before at once
--- a/eiderpin/store/host.py
+++ b/eiderpin/store/host.py
@@ -76,11 +76,11 @@
             elif new:
                 restored = Restored(born)
             elif not born.disk:  # written before disks had identities
-                born = identity.anew(born, anchor.new_disk(), anchor.read())
+                born = replace(born, disk=anchor.new_disk(), anchor=anchor.read())
             elif identity.copied(born, anchor.read()) and self.alone(restored):
-                born = identity.anew(born, born.disk, anchor.read())  # it has promised nobody anything
+                born = replace(born, anchor=anchor.read())  # it has promised nobody anything
             elif identity.copied(born, anchor.read()):
-                born = identity.anew(born, anchor.new_disk(), anchor.make())
+                born = replace(born, disk=anchor.new_disk(), anchor=anchor.make())
                 warn(
                     f"store.directory {options.folder}: it is a copy of member {born.name}'s, perhaps an old "
                     "one: it has no vote until a leader has taken it in again"
--- a/eiderpin/store/identity.py
+++ b/eiderpin/store/identity.py
@@ -89,8 +89,3 @@
             return None
         return Config(self.members, {}, {**self.met, self.name: self.disk})
 
-
-def anew(born: Born, disk: str, anchor: str) -> Born:
-    """The same member on another disk."""
-    return Born(born.cluster, born.name, disk, anchor, born.generation)
-
--- a/eiderpin/store/raft.py
+++ b/eiderpin/store/raft.py
@@ -318,7 +318,7 @@
     def _step_old(self, m: Message) -> None:
         """Of a term that has passed. One who still thinks that it leads, or asks, has to hear of ours."""
         if isinstance(m, Append | Beat | Snap):
-            self._after(Appended(self.name, m.frm, self.term, False, 0, disk=self.disk))
+            self._appended(m, False, 0)
         elif isinstance(m, Ask):
             self._after(Voted(self.name, m.frm, self.term, False, m.pre, self.disk))
 
@@ -365,12 +365,12 @@
             last = m.prev + len(m.entries)
             if not left:
                 have = min(self.commit, max(last, m.prev))
-                self._after(Appended(self.name, m.frm, self.term, True, have, disk=self.disk))
+                self._appended(m, True, have)
                 return
             m = Append(m.frm, m.to, m.term, self.log.base, self.log.base_term, left, m.commit)
         if not self.log.match(m.prev, m.prev_term):
             hint, hint_term = self.log.hint(m.prev, m.prev_term)
-            self._after(Appended(self.name, m.frm, self.term, False, m.prev, hint, hint_term, self.disk))
+            self._appended(m, False, m.prev, hint, hint_term)
             return
         new = self.log.merge(m.entries)
         if new is not None:
@@ -379,27 +379,33 @@
             self._out.entries += self.log.slice(new, self.log.last)
         last = m.prev + len(m.entries)
         self._commit_to(min(m.commit, last))
-        self._after(Appended(self.name, m.frm, self.term, True, last, disk=self.disk))
+        self._appended(m, True, last)
+
+    def _appended(self, m: Message, ok: bool, index: int, hint: int = 0, hint_term: int = 0) -> None:
+        self._after(Appended(self.name, m.frm, self.term, ok, index, hint, hint_term, self.disk))
+
+    def _snap_back(self, m: Snap, offset: int) -> None:
+        self._after(SnapBack(self.name, m.frm, self.term, m.index, offset, self.disk))
 
     def _take_snap(self, m: Snap) -> None:
         if m.index <= self.commit:
-            self._after(SnapBack(self.name, m.frm, self.term, m.index, m.total, self.disk))
-            self._after(Appended(self.name, m.frm, self.term, True, self.commit, disk=self.disk))
+            self._snap_back(m, m.total)
+            self._appended(m, True, self.commit)
             return
         if m.offset == 0:
             self.coming = (m, bytearray())
         if self.coming is None:
-            self._after(SnapBack(self.name, m.frm, self.term, m.index, 0, self.disk))
+            self._snap_back(m, 0)
             return
         first, data = self.coming
         same = (first.index, first.snap_term, first.total) == (m.index, m.snap_term, m.total)
         if not same or m.offset != len(data):
             at = len(data) if same else 0
-            self._after(SnapBack(self.name, m.frm, self.term, m.index, at, self.disk))
+            self._snap_back(m, at)
             return
         data += m.data
         if len(data) < m.total:
-            self._after(SnapBack(self.name, m.frm, self.term, m.index, len(data), self.disk))
+            self._snap_back(m, len(data))
             return
         self.coming = None
         snapshot = Snapshot(m.index, m.snap_term, m.config, bytes(data))
@@ -408,8 +414,8 @@
         # What was to be persisted or applied before is in it, or of a log that it replaces.
         self._out.entries.clear()
         self._out.snapshot = snapshot
-        self._after(SnapBack(self.name, m.frm, self.term, m.index, m.total, self.disk))
-        self._after(Appended(self.name, m.frm, self.term, True, m.index, disk=self.disk))
+        self._snap_back(m, m.total)
+        self._appended(m, True, m.index)
 
     # -- a leader
 
--- a/tests/test_identity.py
+++ b/tests/test_identity.py
@@ -20,6 +20,7 @@
 from eiderpin.store.records import Born
 from tests.standins import wait_for
 from tests.test_command import eiderpin
+from tests.test_store import cluster
 
 VOTERS = {n: n for n in "abc"}
 DISKS = {n: f"disk-{n}" for n in "abc"}
@@ -156,17 +157,10 @@
 
 @pytest.fixture
 def three() -> Iterator[Cluster]:
-    with tempfile.TemporaryDirectory() as folder:
-        it = Cluster(Path(folder), 3)
-        try:
-            it.start()
-            wait_for(lambda: len(it.statuses()) == 3, "all three to answer")
-            it.together()
-            yield it
-            faults = [p.log() for p in it.all.values() if "Traceback" in p.log() or "invariant" in p.log()]
-            assert not faults, faults
-        finally:
-            it.stop()
+    with cluster() as it:
+        wait_for(lambda: len(it.statuses()) == 3, "all three to answer")
+        it.together()
+        yield it
 
 
 def alone_with_a_lost_disk(it: Cluster) -> tuple[str, str, str]:
