Ask one question before an attempt's first byte, and take back what has not gone out

Cause: a client that has gone must have no attempt begun for it.

- HttpWorkers.put asked may_write alone, which knew a drain but not the job: a connection that came up in the turn in which the client's end was read, or later where calling off is not allowed (may_cancel false), was written to.
- A half-written request went on being written after its client had left.
- Dispatcher.detach marked a begun single shot of a Gearman client as background: turned away by its worker, it was sent to another though nobody waited.
- A client's end behind pipelined bytes was seen one turn late.

Ruled out: a reset instead of an end, a burst of leavers in one turn, and a wait for room were sound already where calling off is allowed (cases of the same table).

Mend: core.may_begin is the one question, asked by both links: somebody waits, the worker takes new work, the decisions stand by it (decide.may_begin: window, deadline, what else may have run; so a repeat whose connection comes up after its window stays unsent). Whatever ends a job takes back at once what has not gone out whole. Detached jobs are abandoned, not background: what has begun is waited for. While a client waits, its end is looked for behind what it sends, in the same turn.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -174,7 +174,7 @@
         """One who waited has gone. A flow that nobody waits for is called off."""
         if waiter in flow.waiters:
             flow.waiters.remove(waiter)
-        if flow.ended or flow.waiters or flow.background:
+        if flow.ended or flow.waiters or flow.background or flow.abandoned:
             return
         self.counters.add("in.clients_gone")
         self._events.append(api.RequestGone(flow.id))
@@ -192,11 +192,13 @@
         self._finish(flow, Answer(Verdict.TURNED_DOWN, wait=wait))
 
     def detach(self, flow: Flow, waiter: EdgeSide) -> None:
-        """As `leave`, but a single-shot job that may have begun goes on, so that a resubmission finds it."""
+        """As `leave`, but what has begun of a job that must not run twice is waited for, so that a
+        resubmission finds it. No further attempt begins meanwhile. A durable job goes on, as promised."""
         repeat = self.classes[flow.cls].repeat
         begun = flow.may_have_run() and repeat is not api.Repeat.FREE
-        if flow.unique and (begun or flow.job) and not flow.ended:
-            flow.background = True
+        if flow.unique and not flow.ended:
+            flow.background = flow.background or bool(flow.job)
+            flow.abandoned = begun and not flow.job
         self.leave(flow, waiter)
 
     # -- from the worker links
@@ -260,10 +262,21 @@
             known.left_at = now
         known.link.entry_changed(known)
 
-    def may_write(self, scheduling: Scheduling) -> bool:
-        """Asked by a link just before the first byte of a send."""
+    def may_begin(self, scheduling: Scheduling) -> bool:
+        """The one question that each link asks just before the first byte of an attempt, however long it took
+        to get there: is somebody still waiting, does the worker still take new work, and do the decisions
+        still stand by it (its window, its deadline, what else of the job may have run)?"""
+        flow, now = scheduling.flow, self.clock.now()
+        if scheduling.ended or not flow.wanted:
+            return False
         grace = self.settings.drain_grace - GRACE_MARGIN
-        return not scheduling.ended and scheduling.entry.may_be_sent(self.clock.now(), grace)
+        if not scheduling.entry.may_be_sent(now, grace):
+            self.counters.add("out.late.drained")
+            return False
+        if not self.module.may_begin(flow.id, scheduling.number, now):
+            self.counters.add("out.late.overtaken")
+            return False
+        return True
 
     def written(self, scheduling: Scheduling) -> None:
         """The whole of a send is out: from here on it may have run."""
@@ -293,6 +306,8 @@
             self.keeper.released(scheduling, outcome)
         if outcome is api.Outcome.DONE and not flow.ended:
             self._finish(flow, Answer(Verdict.SERVED, result))
+        elif flow.abandoned and not flow.wanted and all(s.ended for s in flow.schedulings):
+            self._finish(flow, None)  # its client has gone: no further attempt begins
         self._events.append(
             api.AttemptEnded(
                 flow.id, scheduling.number, scheduling.entry.name, outcome,
@@ -495,6 +510,7 @@
             self.counters.add("answer.nobody")
         else:
             self.count_answer(flow.cls, answer.verdict)
+        self._withdraw(flow)
         told, answer = answer is not None and bool(flow.waiters), answer or FAILED
         if log.isEnabledFor(logging.DEBUG):
             fields = {"job": flow.wire_id or flow.unique, "class": flow.cls, "end": answer.verdict.value}
@@ -506,6 +522,14 @@
             self._give(flow, answer)
         self._release(flow)
 
+    def _withdraw(self, flow: Flow) -> None:
+        """Of a job that is over nothing more begins. What has not gone out whole is taken back here, at once:
+        it never ran, and so that needs no leave to call off what workers have."""
+        for scheduling in flow.schedulings:
+            if not scheduling.ended and not scheduling.may_have_run:
+                scheduling.entry.link.cancel(scheduling)
+                self.ended(scheduling, api.Outcome.NOT_SENT)
+
     def _give(self, flow: Flow, answer: Answer) -> None:
         if flow.unique and self._by_unique.get((flow.cls, flow.unique)) is flow:
             del self._by_unique[flow.cls, flow.unique]
--- a/eiderpin/core/flows.py
+++ b/eiderpin/core/flows.py
@@ -112,6 +112,7 @@
     client_retry: bool = False
     priority: int = 0
     background: bool = False  # goes on though nobody waits
+    abandoned: bool = False  # nobody waits any more; what has begun runs on, and nothing else begins
     once: bool = False  # its front gives each request an id of its own: another `once` with it is refused
     id: int = -1
     job: int = 0  # its number among the durable ones; 0: it is not durable
@@ -128,5 +129,10 @@
         """Bytes that a client sent for it, and that are held while it lasts."""
         return len(self.body) + len(self.idempotency_key or "")
 
+    @property
+    def wanted(self) -> bool:
+        """Whether an attempt may still begin: somebody waits for the answer, or it was to go on anyway."""
+        return not self.ended and (bool(self.waiters) or self.background or bool(self.job))
+
     def may_have_run(self) -> bool:
         return any(s.may_have_run for s in self.schedulings)
--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -233,22 +233,12 @@
         self.slack = 0.0  # ms for which it could wait when it came, and still be in time
         self.scale = 1.0  # what is left of its worth: less where its tenant is beyond its share
 
-    def anchor(self) -> Attempt | None:
-        """The earliest attempt that may have run or is still out; it binds what may be done next."""
-        bound = self.risky + self.out
+    def anchor(self, beside: Attempt | None = None) -> Attempt | None:
+        """The earliest attempt (but for one) that may have run or is still out; it binds what may be done."""
+        bound = [a for a in self.risky + self.out if a is not beside]
         return min(bound, key=lambda a: a.sent) if bound else None
 
 
-# What each class may do once an attempt may have run (or is still out): whether another send is allowed at
-# all, and whether a refusal (which calls a retry harmless) is. Before that, everything is allowed to all.
-# A guarded class's sends stay within its scope and memory span, and only a scope of all lets it refuse.
-AFTER_RISK: dict[api.Repeat, tuple[bool, bool]] = {
-    api.Repeat.FREE: (True, True),
-    api.Repeat.GUARDED: (True, False),
-    api.Repeat.SINGLE_SHOT: (False, False),
-}
-
-
 def may_send(job: Job, settings: api.Settings, now: float) -> bool:
     """Whether the rules let another attempt go out now, somewhere."""
     if job.over or job.streaming or job.sends >= settings.max_attempts:
@@ -258,21 +248,20 @@
     return may_repeat(job, now)
 
 
-def may_repeat(job: Job, now: float) -> bool:
-    """Whether its class lets a job that may have run, or may yet, go out again now."""
-    anchor = job.anchor()
-    if anchor is None:
+def may_repeat(job: Job, now: float, attempt: Attempt | None = None) -> bool:
+    """Whether its class lets a job that may have run, or may yet, go out again now, as this attempt: one that
+    must not run twice never, a guarded one within its scope and memory span."""
+    anchor = job.anchor(attempt)
+    if anchor is None or job.spec.repeat is api.Repeat.FREE:
         return True
-    if not AFTER_RISK[job.spec.repeat][0]:
-        return False
-    return job.spec.repeat is api.Repeat.FREE or now <= anchor.sent + SPAN_MARGIN * job.spec.memory_span
+    guarded = job.spec.repeat is api.Repeat.GUARDED
+    return guarded and now <= anchor.sent + SPAN_MARGIN * job.spec.memory_span
 
 
 def may_refuse(job: Job) -> bool:
-    if job.anchor() is None:
-        return True
+    """Whether trying again is harmless: nothing may have run, or may run again, or all drop a repeat."""
     guarded_by_all = job.spec.repeat is api.Repeat.GUARDED and job.spec.scope is api.Scope.ALL
-    return AFTER_RISK[job.spec.repeat][1] or guarded_by_all
+    return job.anchor() is None or job.spec.repeat is api.Repeat.FREE or guarded_by_all
 
 
 def round_kind(job: Job, by_class: bool, home: str | None) -> Kind:
@@ -1047,6 +1036,14 @@
             self.set_ready(worker)
         self.actions.append(api.Send(job.id, worker.name))
 
+    def may_begin(self, request: int, number: int, now: float) -> bool:
+        """Asked just before an attempt's first byte, which a connection that came up late may have held back:
+        whether what let it go out still holds."""
+        attempt = self.attempts.get((request, number))
+        if attempt is None or attempt.job.over or now >= attempt.job.deadline:
+            return False
+        return may_repeat(attempt.job, now, attempt)
+
     def commit(self, job: Job, number: int, worker: Worker, sent: float) -> Attempt:
         """An attempt is out, and takes up its worker's slots."""
         attempt = Attempt(job, number, worker, sent, self.expected_run(worker, job))
--- a/eiderpin/net/edge.py
+++ b/eiderpin/net/edge.py
@@ -180,6 +180,7 @@
         """It waits for this flow's answer; None: for none."""
         self.front.jobs += (flow is not None) - (self.flow is not None)
         self.flow = flow
+        self.conn.waited = flow is not None
 
     def can_go(self, flow: Flow) -> bool:
         """Whether it waits for this flow, and nothing else has come or is going out here."""
--- a/eiderpin/net/gearman_front.py
+++ b/eiderpin/net/gearman_front.py
@@ -309,7 +309,7 @@
         while self.placed:
             scheduling = self.placed.popleft()
             self.drop_wait(scheduling)
-            if not self.core.may_write(scheduling):
+            if not self.core.may_begin(scheduling):
                 # The first byte counts for a drain: its grace has passed while the job waited here.
                 self.core.ended(scheduling, api.Outcome.NOT_SENT)
                 continue
--- a/eiderpin/net/loop.py
+++ b/eiderpin/net/loop.py
@@ -23,6 +23,7 @@
 REST = 20.0  # ms for which a listener that has no room lets connections wait in its backlog
 SCRATCH = bytearray(256 * 1024)  # where input that nobody wants is read into
 MOST_UNSENT = 1 << 20  # a peer that leaves more than this unread is cut off
+READS = 4  # reads in one turn from a peer that waits for something here
 NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
 
 
@@ -32,6 +33,7 @@
     __slots__ = (
         "loop", "sock", "number", "connecting", "closed", "unsent", "closing", "lingers", "on_open",
         "on_data", "on_end", "on_flushed", "on_closed", "taken", "mask", "dropped", "end_at", "receive",
+        "waited",
     )  # fmt: skip
 
     def __init__(self, loop: Loop, sock: socket.socket, connecting: bool) -> None:
@@ -50,6 +52,7 @@
         self.on_closed: Callable[[], None] = _nothing  # the descriptor is free again, whoever closed
         self.dropped = 0  # bytes read and dropped since we began to close
         self.end_at: Deadline | None = None
+        self.waited = False  # its peer waits for something here, until it ends
         self.receive: Callable[[int], bytes] = sock.recv
         sock.setblocking(False)
         if sock.family == socket.AF_INET:
@@ -71,20 +74,31 @@
         if mask & WRITE and not self.closed:
             self._flush()
         if mask & READ and not self.closed:
-            if self.closing:
-                self._drop_input()
-                return
-            try:
-                data = self.receive(CHUNK)
-            except (BlockingIOError, InterruptedError):
-                return
-            except OSError:
-                self._broke()
-                return
-            if not data:
-                self._broke()
-            else:
-                self.on_data(data)
+            # While it waits here, its end may stand right behind what it sends, and more must not be done for
+            # it then: so its end is looked for in this turn.
+            for _ in range(READS if self.waited else 1):
+                if not self._read():
+                    return
+
+    def _read(self) -> bool:
+        """Whether something came, and more may follow."""
+        if self.closed:
+            return False
+        if self.closing:
+            self._drop_input()
+            return False
+        try:
+            data = self.receive(CHUNK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            self._broke()
+            return False
+        if not data:
+            self._broke()
+            return False
+        self.on_data(data)
+        return True
 
     def _drop_input(self) -> None:
         try:
--- a/eiderpin/net/workers.py
+++ b/eiderpin/net/workers.py
@@ -71,7 +71,7 @@
     def put(self) -> None:
         """Write the request, unless its worker's grace has passed while the connection came up."""
         scheduling, core = self.scheduling, self.workers.core
-        if scheduling is not None and not core.may_write(scheduling):
+        if scheduling is not None and not core.may_begin(scheduling):
             core.ended(scheduling, api.Outcome.NOT_SENT)
             self.free(True)
             return
@@ -203,6 +203,8 @@
             connection.conn.close()
             self.lost(connection)
             return
+        if connection is None and not scheduling.accepted:
+            return  # nothing of it has gone out
         target = b"/jobs/" + scheduling.flow.wire_id.encode()
         self._call(scheduling.entry, http.request("DELETE", target, (f"Host: {self.host}",)), None)
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -102,7 +102,7 @@
         self.list(gone, entry("w3"))
         for after, may in ((0, True), (440, True), (20, False), (100, False)):
             self.pass_time(after)
-            self.assertIs(self.core.may_write(sent), may)
+            self.assertIs(self.core.may_begin(sent), may)
 
     def test_a_result_is_kept_for_a_bounded_time_and_number(self) -> None:
         self.submit("post", "a")
