Give a worker's connection one life with one way out, and trust nothing said unasked

- WorkerConnection.data fed what came on a resting connection to its reader.
Half a line stayed there, the kernel's buffer was empty again, so _alive saw nothing, and the next answer was read behind the rest of it: a single shot was lost to a BadMessage, counted as a reset.
So it was for half an answer right behind a whole one.
- An attempt that a call-back ended before its 202 left its connection in the exchange with no deadline: one that never answered stayed until its worker closed it, and each took a descriptor of the workers' share.
- An answer without a length that ends with its connection was a reset: a 503 with Srv-Declined, which proves that nothing ran, failed a single shot.

Mend: connecting, sending, awaiting, resting, closed are one state; close is the one way out. Any byte on a resting connection ends it (in.worker_unasked); it rests only with nothing of a next answer read. The answer that is due after a call-back has 1 s.

--- a/eiderpin/net/http.py
+++ b/eiderpin/net/http.py
@@ -63,6 +63,11 @@
         self._begun = False  # some of a next message has come
         self._idle_bytes = 0  # bytes between messages: line ends, which the parser passes over
 
+    @property
+    def idle(self) -> bool:
+        """Nothing of a next message has come."""
+        return not self._begun and not self._idle_bytes
+
     # httptools calls these
 
     def on_message_begin(self) -> None:
@@ -142,11 +147,6 @@
         super().__init__()
         self._parser = httptools.HttpRequestParser(self)
 
-    @property
-    def idle(self) -> bool:
-        """Nothing of a next request has come."""
-        return not self._begun and not self._idle_bytes
-
     @property
     def held(self) -> int:
         """Bytes of a body that has not come whole."""
@@ -193,6 +193,16 @@
         done, self.complete = self.complete, []
         return [m for m in done if m.status >= 200]
 
+    def at_end(self) -> Message | None:
+        """The answer that the end of its connection completes: one that told no length. None where it was
+        cut, or none was under way."""
+        message, h = self._message, self._message.headers
+        if not self._begun or self._in_head or "content-length" in h or "transfer-encoding" in h:
+            return None
+        message.body, message.keep_alive, self._begun = bytes(self._body), False, False
+        message.status = self._parser.get_status_code()
+        return message
+
     def _parser_keeps_alive(self) -> bool:
         return bool(self._parser.should_keep_alive())
 
--- a/eiderpin/net/workers.py
+++ b/eiderpin/net/workers.py
@@ -5,6 +5,7 @@
 import math
 import socket
 from collections.abc import Callable
+from enum import Enum
 from typing import Any
 
 import orjson
@@ -25,11 +26,22 @@
 MOST_IDLE = 64  # connections kept to one worker
 
 
+class Life(Enum):
+    """Where a connection to a worker stands. From each but the last it may be closed; nothing leads back from
+    there, and what still comes for a closed one is ignored."""
+
+    CONNECTING = "connecting"  # an exchange waits for it to come up
+    SENDING = "sending"  # some of the request has not been taken by the kernel
+    AWAITING = "awaiting"  # all of it is out: the worker may have begun
+    RESTING = "resting"  # between exchanges; nothing may come here
+    CLOSED = "closed"
+
+
 class WorkerConnection:
     """One connection to a worker; it carries one exchange at a time."""
 
     __slots__ = ("workers", "entry", "address", "conn", "reader", "scheduling", "request", "deadline",
-                 "probe_at", "in_exchange", "unwritten", "rested_at", "stood", "begun_at")  # fmt: skip
+                 "probe_at", "life", "rested_at", "stood", "begun_at")  # fmt: skip
 
     def __init__(self, workers: HttpWorkers, entry: ServiceEntry, conn: Connection) -> None:
         self.workers, self.entry, self.address, self.conn = workers, entry, entry.address, conn
@@ -37,8 +49,7 @@
         self.scheduling: Scheduling | None = None
         self.request = b""
         self.probe_at: float | None = None
-        self.in_exchange = False
-        self.unwritten = False  # some of the request has not been taken by the kernel
+        self.life = Life.CONNECTING
         self.deadline: Deadline | None = None
         self.rested_at = self.begun_at = 0.0
         self.stood = 0.0  # ms for which it stood idle before this exchange
@@ -46,7 +57,6 @@
 
     def begin(self, request: bytes, scheduling: Scheduling | None) -> None:
         """Take one exchange on, a call's request or a scheduling; it is written once the connection is up."""
-        self.in_exchange = self.unwritten = True
         self.begun_at = self.workers.loop.clock.now()
         self.stood = self.begun_at - self.rested_at if self.rested_at else 0.0
         self.request, self.scheduling = request, scheduling
@@ -59,6 +69,7 @@
 
     def opened(self) -> None:
         self.drop_deadline()
+        self.life = Life.SENDING
         if self.scheduling is None:
             self.limit(CALL_LIMIT)
         self.put()
@@ -69,7 +80,7 @@
         self.deadline = loop.deadlines.set(loop.clock.now() + ms, self.too_late)
 
     def put(self) -> None:
-        """Write the request, unless its worker's grace has passed while the connection came up."""
+        """Write the request, unless it may not begin any more: the connection may have come up late."""
         scheduling, core = self.scheduling, self.workers.core
         if scheduling is not None and not core.may_begin(scheduling):
             core.ended(scheduling, api.Outcome.NOT_SENT)
@@ -81,25 +92,37 @@
         self.conn.write(self.request)
 
     def flushed(self) -> None:
-        if self.unwritten and self.scheduling is not None:
+        if self.life is not Life.SENDING:
+            return
+        self.life = Life.AWAITING
+        if self.scheduling is not None:
             self.workers.core.written(self.scheduling)
-        self.unwritten = False
 
     def data(self, data: bytes) -> None:
+        if self.life is Life.RESTING:
+            self.unasked()
+            return
         try:
             messages = self.reader.feed(data)
         except http.BadMessage:
-            self.conn.close()
+            self.workers.core.counters.add("in.worker_bad")
             self.end()
             return
         for message in messages:
             self.answered(message)
 
+    def unasked(self) -> None:
+        """It speaks while nothing is asked of it. Whole or not, what follows could pass for the answer to the
+        next request."""
+        self.workers.core.counters.add("in.worker_unasked")
+        self.close()
+
     def answered(self, message: http.Message) -> None:
         core, scheduling = self.workers.core, self.scheduling
-        if not self.in_exchange:
-            self.conn.close()  # nothing was asked
-            self.workers.lost(self)
+        if self.life is Life.CLOSED:
+            return
+        if self.life is Life.RESTING:
+            self.unasked()  # a second answer, right behind the first
             return
         if self.probe_at is not None:
             ok = message.status == 200
@@ -114,7 +137,7 @@
             else:
                 core.counters.add(f"out.status.{message.status}")
                 core.ended(scheduling, api.Outcome.ERROR, report=self.told(message))
-        self.free(message.keep_alive and not self.unwritten)
+        self.free(message.keep_alive and self.life is Life.AWAITING and self.reader.idle)
 
     def told(self, message: http.Message) -> api.Report | None:
         """The load that the worker tells with an answer."""
@@ -125,33 +148,50 @@
         """The exchange is over."""
         self.drop_deadline()
         self.scheduling, self.probe_at = None, None
-        self.in_exchange = self.unwritten = False
         if keep and not self.conn.closed:
+            self.life = Life.RESTING
             self.workers.rest(self)
         else:
-            self.conn.close()
-            self.workers.lost(self)
+            self.close()
 
     def end(self) -> None:
-        """The connection was refused, broke or was closed by the worker. Nothing is sent again here: whether
-        it may be is for the decisions to say, by what has gone out."""
-        self.drop_deadline()
+        """The connection was refused, broke or was closed by the worker, or its time is up. Nothing is sent
+        again here: whether it may be is for the decisions to say, by what has gone out."""
+        if self.life is Life.CLOSED:
+            return
+        last = self.reader.at_end()
+        if last is not None and self.life is Life.AWAITING:
+            self.answered(last)  # its end was the end of the answer
+            return
         scheduling, core = self.scheduling, self.workers.core
         if scheduling is not None:
             stale = self.stood > 0 and core.clock.now() < self.begun_at + STALE_WITHIN
             if stale:
                 self.workers.went_stale(self.stood)
-            outcome = api.Outcome.NOT_CONNECTED if self.unwritten else api.Outcome.RESET
+            never = self.life in (Life.CONNECTING, Life.SENDING)
+            outcome = api.Outcome.NOT_CONNECTED if never else api.Outcome.RESET
             core.ended(scheduling, outcome, stale=stale)
         elif self.probe_at is not None:
             core.probed(self.entry, False, core.clock.now() - self.probe_at)
-        self.scheduling, self.probe_at, self.in_exchange = None, None, False
+        self.close()
+
+    def close(self) -> None:
+        """The one way out; what was owed for its exchange has been settled, or is nobody's any more."""
+        if self.life is Life.CLOSED:
+            return
+        self.life = Life.CLOSED
+        self.drop_deadline()
+        self.scheduling, self.probe_at = None, None
+        self.conn.close()
         self.workers.lost(self)
 
     def too_late(self) -> None:
-        self.conn.close()
         self.end()
 
+    def outlived(self) -> None:
+        """What it carries has ended by a call-back. The answer that is still due may come for a while."""
+        self.limit(CALL_LIMIT)
+
     def drop_deadline(self) -> None:
         self.workers.loop.deadlines.drop(self.deadline)
         self.deadline = None
@@ -198,10 +238,7 @@
         connection = scheduling.handle
         if isinstance(connection, WorkerConnection) and connection.scheduling is scheduling:
             # Before the 202 a closed connection is the cancel; what has been written cannot be unsaid.
-            connection.drop_deadline()
-            connection.scheduling = None
-            connection.conn.close()
-            self.lost(connection)
+            connection.close()
             return
         if connection is None and not scheduling.accepted:
             return  # nothing of it has gone out
@@ -218,9 +255,7 @@
         gone = entry.listed.state is api.WorkerState.GONE
         for connection in list(self.idle.get(entry.name, ())):
             if gone or connection.address != entry.address:
-                connection.drop_deadline()
-                connection.conn.close()
-                self.lost(connection)
+                connection.close()
 
     def may_move(self, scheduling: Scheduling) -> bool:
         connection = scheduling.handle
@@ -255,9 +290,7 @@
             connection = waiting.pop()
             if connection.address == entry.address and _alive(connection.conn.sock):
                 return connection
-            connection.drop_deadline()
-            connection.conn.close()
-            self.lost(connection)
+            connection.close()
         if len(self.open) >= self.most:
             self._retire_one()
         conn = self.loop.connect(entry.address) if len(self.open) < self.most else None
@@ -271,17 +304,13 @@
     def _retire_one(self) -> None:
         for waiting in self.idle.values():
             if waiting:
-                connection = waiting[0]
-                connection.drop_deadline()
-                connection.conn.close()
-                self.lost(connection)
+                waiting[0].close()
                 return
 
     def rest(self, connection: WorkerConnection) -> None:
         waiting = self.idle.setdefault(connection.entry.name, [])
         if connection.address != connection.entry.address or len(waiting) >= MOST_IDLE:
-            connection.conn.close()
-            self.lost(connection)
+            connection.close()
             return
         waiting.append(connection)
         connection.rested_at = self.loop.clock.now()
@@ -358,11 +387,19 @@
             if isinstance(share, int | float) and 0 <= share <= 1:
                 self.core.progress(scheduling, False, float(share))
         elif state == "done":
-            self.core.ended(scheduling, api.Outcome.DONE, _result(said), report=self.load_of(said))
+            self.ended(scheduling, api.Outcome.DONE, said)
         elif state in STATES:
-            self.core.ended(scheduling, STATES[state], report=self.load_of(said))
+            self.ended(scheduling, STATES[state], said)
         return True
 
+    def ended(self, scheduling: Scheduling, outcome: api.Outcome, said: dict[str, Any]) -> None:
+        """A call-back tells of an attempt's end, perhaps before its connection has brought the 202."""
+        connection = scheduling.handle
+        if isinstance(connection, WorkerConnection) and connection.scheduling is scheduling:
+            connection.outlived()
+        result = _result(said) if outcome is api.Outcome.DONE else b""
+        self.core.ended(scheduling, outcome, result, report=self.load_of(said))
+
 
 def _nobody(said: dict[str, Any], reply: Callable[[int], None]) -> None:
     """There is no process beside us that may know of it."""
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -54,7 +54,7 @@
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
         self.got = b""
-        self.ended = ""  # how the other end ended it: "closed" or "reset"
+        self.ended = ""  # how it ended: "closed" or "reset" by the other end, or "by us"
         sock.setblocking(False)
 
     def say(self, data: bytes) -> None:
@@ -75,11 +75,13 @@
         return self.got
 
     def close(self) -> None:
+        self.look()  # a close over unread bytes would be a reset
+        self.ended = self.ended or "by us"
         self.sock.close()
 
     def reset(self) -> None:
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        self.sock.close()
+        self.close()
 
     def requests(self) -> list[bytes]:
         """The requests that have come whole: a worker begins a job at its last byte."""
