Close every client's connection in order, and end only once what arrives is dealt with

- The last answer of a connection (the client's own Connection: close, or SIGTERM) was written and the socket closed at once unless something was known to wait: with bytes unread behind the request the kernel sent a reset, and the answer could go with it.
- Service.over looked at what had been read alone: a request that lay unread when the last answer was out ended with the process.
Idle clients still there were closed by the exit, over whatever they sent.

Ruled out as sound: a request before or after an idle close (peeked, then not sent on), floods that go, reset or stay (memory, descriptors, others served), EMFILE (the listener rests 20 ms and wakes), TCP_NODELAY on both kinds.

Mend: close_when_sent is one orderly end for all: our side is shut, what comes is dropped until the peer ends or 2.5 s have passed. At the end of SIGTERM all resting clients are closed so, unread input is served first, the listener stays while call-backs may be due, and 1 s more is given to see our end.

--- a/eiderpin/net/agent_check.py
+++ b/eiderpin/net/agent_check.py
@@ -28,4 +28,4 @@
             return
         self.open.append(conn)
         conn.write(self.readiness().encode() + b"\n")
-        conn.close_when_sent(linger=True)
+        conn.close_when_sent()
--- a/eiderpin/net/edge.py
+++ b/eiderpin/net/edge.py
@@ -121,7 +121,7 @@
         self.leave()
         self.waiting.clear()
         self.conn.write(http.response(status, text.encode() + b"\n", close=True))
-        self.close(linger=True)
+        self.close()
 
     def data(self, data: bytes) -> None:
         self.last = self.front.loop.clock.now()
@@ -169,7 +169,7 @@
         keep = self.keep and not self.sent_away and not wrong
         self.conn.write(http.response(status, body, headers, close=not keep))
         if not keep:
-            self.close(linger=wrong or bool(self.waiting) or self.conn.on_data != self.data)
+            self.close()
             return
         self.front.may_hold(self)
         if self.waiting:
@@ -235,9 +235,9 @@
         """The client's end of stream: it has gone, and with it its flow."""
         self.leave()
 
-    def close(self, linger: bool = False) -> None:
+    def close(self) -> None:
         self.drop_limit()
-        self.conn.close_when_sent(linger)
+        self.conn.close_when_sent()
         self.file()
 
     def closed(self) -> None:
@@ -334,10 +334,11 @@
     def sweep(self) -> None:
         now = self.loop.clock.now()
         for edge in self.connections.all():
-            unread = edge.conn.unsent and not edge.conn.closing and now - edge.last > UNREAD_LIMIT
-            if unread or (edge.idle and now - edge.last > IDLE_LIMIT):
+            if edge.conn.unsent and not edge.conn.closing and now - edge.last > UNREAD_LIMIT:
                 edge.conn.close()
                 edge.end()
+            elif edge.idle and now - edge.last > IDLE_LIMIT and not _has_input(edge.conn.sock):
+                edge.close()
         self.loop.deadlines.set(now + SWEEP, self.sweep)
 
     def send_away(self, whom: Away, after: float) -> None:
@@ -354,6 +355,7 @@
             self.look_for_idle()
 
     def look_for_idle(self) -> None:
+        """Close those who rest. What arrives just then was not taken: its sender sends it again elsewhere."""
         now = self.loop.clock.now()
         self.loop.deadlines.drop(self.away_look)
         refuses = self.away is Away.CLIENTS and now >= self.away_at + HALF_SENT
@@ -368,6 +370,17 @@
                     edge.refuse_more()
         self.away_look = self.loop.deadlines.set(max(now + AWAY_EVERY, self.away_at), self.look_for_idle)
 
+    def part(self) -> bool:
+        """All is answered, and we want to end: whether those who are still connected have been sent off. What
+        of theirs lies unread comes first, and what it leads to needs the listener, for call-backs."""
+        self.look_for_idle()
+        for edge in self.connections.all():
+            if edge.spare is Spare.HALF and not _has_input(edge.conn.sock):
+                edge.refuse_more()
+        if all(edge.conn.closing for edge in self.connections.all()):
+            self.listener.pause()
+        return not len(self.connections)
+
     def quiet(self, halves: bool) -> bool:
         """Whether nobody is owed anything here; with `halves`, nor is a request still on its way."""
         return not any(
--- a/eiderpin/net/gearman_front.py
+++ b/eiderpin/net/gearman_front.py
@@ -125,7 +125,7 @@
                 self.error(item.code, str(item))
                 if item.fatal:
                     self.end()
-                    self.conn.close_when_sent(linger=True)
+                    self.conn.close_when_sent()
                     return
 
     def end(self) -> None:
--- a/eiderpin/net/loop.py
+++ b/eiderpin/net/loop.py
@@ -17,7 +17,7 @@
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 CHUNK = 65536
-LINGER = 2500.0  # ms for which a refused peer's input is still read and dropped ...
+LINGER = 2500.0  # ms for which input is still read and dropped once we have shut our side ...
 LINGER_BYTES = 128 << 20  # ... and how much of it
 LAST_WORDS = 5000.0  # ms in which a peer must have taken the last that we say
 REST = 20.0  # ms for which a listener that has no room lets connections wait in its backlog
@@ -31,7 +31,7 @@
     """One non-blocking stream. Users set the hooks; after `close` none of them is called."""
 
     __slots__ = (
-        "loop", "sock", "number", "connecting", "closed", "unsent", "closing", "lingers", "on_open",
+        "loop", "sock", "number", "connecting", "closed", "unsent", "closing", "on_open",
         "on_data", "on_end", "on_flushed", "on_closed", "taken", "mask", "dropped", "end_at", "receive",
         "waited",
     )  # fmt: skip
@@ -41,7 +41,6 @@
         self.sock = sock
         self.connecting = connecting
         self.closed = False
-        self.lingers = False
         self.closing = False  # to be closed once all is written
         self.unsent = bytearray()
         self.taken = 0  # bytes that the kernel has taken
@@ -133,15 +132,13 @@
             return
         if not self.unsent:
             self.on_flushed()
-            if self.closing and not self.lingers:
-                self.close()
-                return
             if self.closing:
-                self._linger()
+                self._shut()
         self._want()
 
-    def _linger(self) -> None:
-        """Closed with input unread, the kernel would send a reset, and the peer might lose our last words."""
+    def _shut(self) -> None:
+        """Closed with input unread, or with some that is just coming, the kernel would send a reset, and our
+        peer might lose our last words. So we end our side, and drop what comes until it ends its own."""
         try:
             self.sock.shutdown(socket.SHUT_WR)
         except OSError:
@@ -167,18 +164,18 @@
             self.close()
             self.on_end()
 
-    def close_when_sent(self, linger: bool = False) -> None:
+    def close_when_sent(self) -> None:
+        """The orderly end: nothing that comes from now on is taken, and all that was said arrives."""
         if self.closed or self.closing:
             return
-        self.closing, self.lingers = True, linger
-        if not self.unsent and linger:
-            self._linger()
-        elif not self.unsent:
-            self.close()
-        else:
+        self.closing = True
+        if self.unsent:
             self._end_within(LAST_WORDS)
+        else:
+            self._shut()
 
     def close(self) -> None:
+        """At once: for peers that have gone, have said nothing that counts, or take nothing."""
         if not self.closed:
             self.detach().close()
 
--- a/eiderpin/net/management.py
+++ b/eiderpin/net/management.py
@@ -51,7 +51,7 @@
     def reply(self, text: str) -> None:
         self.conn.on_data = _ignore
         self.conn.write(text.encode() + b"\n")
-        self.conn.close_when_sent(linger=True)
+        self.conn.close_when_sent()
 
     def say(self, text: str) -> None:
         """A line that is not the last."""
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -47,6 +47,7 @@
 
 LINGER = 600.0  # ms after SIGTERM in which new connections may still come
 SETTLE = 400.0  # ms after a drain in which the front may still send new clients: idle ones are not yet closed
+PARTING = 1000.0  # ms, at the very end, in which those who are still connected may see that we close
 HALVES = 3000.0  # ms after SIGTERM for which requests that are half sent are waited for
 LATEST_BEGIN = 3000.0  # ms in which a new process takes the clients, whatever it has not heard by then
 OWN_END = 1000.0  # ms after SIGTERM in which jobs may end here; then a successor has them
@@ -124,6 +125,7 @@
             )
         self.drained = False  # by the operators' word
         self.stopping_since: float | None = None  # since SIGTERM
+        self.parting_since: float | None = None  # since all was answered, at the end
         self.handed_at: float | None = None  # when a successor took the clients
         self.serving = not shared  # we accept clients, or did until a successor took them
         self.handover: Handover | None = None
@@ -410,7 +412,11 @@
         halves = self.stopping_since is not None and self.clock.now() < self.stopping_since + HALVES
         if any(not f.ended for f in self.core.flows.all()) or not self.edge.quiet(halves):
             return False
-        return self.gearman is None or not any(c.conn.unsent for c in self.gearman.connections.all())
+        if self.gearman is not None and any(c.conn.unsent for c in self.gearman.connections.all()):
+            return False
+        if self.parting_since is None:
+            self.parting_since = self.clock.now()
+        return self.edge.part() or self.clock.now() > self.parting_since + PARTING
 
     def may_end(self) -> bool:
         """Whether we may go once all is answered."""
--- a/eiderpin/store/transport.py
+++ b/eiderpin/store/transport.py
@@ -233,7 +233,7 @@
                     if why:
                         self.counters.add("store.refused")
                         conn.on_data = _ignore
-                        conn.close_when_sent(linger=True)
+                        conn.close_when_sent()
                         return
             except (ValueError, msgspec.MsgspecError) as error:
                 self.counters.add("store.bad")
