Hold a cold worker's calls within its budget where all dispatchers use their parts at once

Parts are at least a job, and where they are seldom used up to 1 / COLD_USE = 4 times as many dispatchers held one. Small jobs counted by their work alone, calls are counted.

Ruled out: steady floods.

--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -54,8 +54,7 @@
 SETTLED = 100.0  # ms; how long a start must lie back before it counts as running beside others: the end that
 # made room for it may be told on another connection, and after it
 TRIAL_MISSES = 3  # ... and so many such starts, or turn-downs, end the trials of one slot more
-COLD_USE = 0.25  # least part of its share of a cold worker's budget that a dispatcher is taken to use
-COLD_MARGIN = 0.5  # share of a cold worker's budget that is used; the rest is for chance and misjudged work
+COLD_MARGIN = 0.6  # share of a cold worker's budget that is used; the rest is for chance and misjudged work
 FAULT_GAIN, SOUND_GAIN = 0.3, 0.1  # weight of a new failure, and of a new success, in a worker's fault ...
 FAULTY = 0.35  # ... from which on, so after two failures, it is not sent a job that must not run twice ...
 FAULT_MEMORY = 20.0  # ... until the fault has faded, with this many mean run times
@@ -382,7 +381,8 @@
             api.Request: self.on_request, api.AttemptEnded: self.on_ended, api.Progress: self.on_progress,
             api.Membership: self.on_membership, api.RequestGone: self.on_gone, api.Beside: self.on_beside,
             api.StreamStarted: self.on_stream, api.ProbeEnded: self.on_probed, api.Adopted: self.on_adopted,
-            api.TimerFired: self.on_timer, api.PeerMessage: self.on_peer,
+            api.TimerFired: self.on_timer,
+            api.PeerMessage: lambda event: None,  # nothing is asked of peers: each decides alone
         }  # fmt: skip
 
     def handle(self, now: float, events: Iterable[api.Event]) -> list[api.Action]:
@@ -698,33 +698,37 @@
     # -- cold workers
 
     def cold_allows(self, worker: Worker, job: Job) -> bool:
-        """Whether this instance alone may add a job to a cold worker.
-
-        The budget over any window is multiple x present capacity x window for all dispatchers together. In
-        slot time: slots x warmth is present capacity in running jobs. Where an even share is less than a
-        job, some of the instances, chosen by hash, hold the whole budget between them.
-        """
+        """Whether this instance alone may add a job to a cold worker, beside what it sent it lately."""
         if worker.cold_until <= self.now:
             return True
-        cost = self.expected_run(worker, job) * job.need
+        cost = self.cold_cost(worker, job)
         since = self.now - self.s.cold_window
         spent = worker.cold_spent = [x for x in worker.cold_spent if x[0] > since]
         return sum(c for _, c in spent) + worker.beside_cold + cost <= self.cold_part(worker, cost)
 
+    def cold_cost(self, worker: Worker, job: Job) -> float:
+        """What a job takes of the budget, in slot time. Calls count as work does: a small one as a mean."""
+        return max(self.expected_run(worker, job), self.run_mean) * job.need
+
     def cold_part(self, worker: Worker, cost: float) -> float:
         """Slot time that we alone may send a cold worker within the window, for a job of this cost; 0: none.
 
-        One that holds a part seldom has as many jobs for it: by what it holds open, over the ready workers
-        and the draw's favour, it uses `used` of it. So many more hold one, and the expected sum is the same.
+        The budget over any window is multiple x present capacity x window for all dispatchers together. Where
+        an even share is less than a job, some of them, chosen by hash, hold it all between them. One that
+        holds a part seldom has as many jobs for it: by what it holds open, over the ready workers and the
+        draw's favour, it uses `used` of it. So many more hold one, and the expected sum is the same. Where
+        all use theirs at once, as after a zone's return, the sum is over the whole budget of N calls by no
+        more than half of what is put down to chance: by root of N, and one.
         """
         window = self.s.cold_window
-        budget = COLD_MARGIN * self.s.cold_multiple * self.warmth(worker) * self.slots(worker) * window
-        share = max(cost, self.run_mean)
-        holders = min(self.s.instances, max(1, int(budget / share)))
+        whole = self.s.cold_multiple * self.warmth(worker) * self.slots(worker) * window
+        calls = whole / cost
+        budget = COLD_MARGIN * whole
+        holders = min(self.s.instances, max(1, int(budget / cost)))
         demand = len(self.jobs) * window * D_PER_JOB / max(len(self.everyone.items), 1)
-        used = min(1.0, max(COLD_USE, demand / share))
+        used = min(1.0, max(COLD_MARGIN * calls / (calls + math.sqrt(calls) + 1.0), demand / cost))
         rank = (crc32(worker.name.encode()) + self.s.instance) % self.s.instances
-        return budget / holders if rank < holders / used else 0.0
+        return budget / holders if rank < int(holders / used) else 0.0
 
     def expected_run(self, worker: Worker, job: Job) -> float:
         """Run time of a job on this worker when warm."""
@@ -1031,7 +1035,7 @@
         job.sends += 1
         attempt.over = worker.ours + worker.beside > self.slots(worker)
         if worker.cold_until > self.now:
-            worker.cold_spent.append((self.now, attempt.expected * job.need))
+            worker.cold_spent.append((self.now, self.cold_cost(worker, job)))
         if worker.trial:
             self.set_ready(worker)
         self.actions.append(api.Send(job.id, worker.name))
@@ -1148,9 +1152,6 @@
         if event.handle == self.timer_handle:
             self.timer_at = math.inf
 
-    def on_peer(self, event: api.PeerMessage) -> None:
-        """Nothing is asked of peers: each instance keeps every rule and decides alone."""
-
     def expire(self) -> None:
         """One final answer in time: whatever is still open at its deadline is answered now."""
         while self.expiry and (self.expiry[0][0] <= self.now or self.expiry[0][1] not in self.jobs):
