Advise a return only where the settings let it, and close idle Gearman clients in order

Mend: core.turned_down is the one place that words a refusal. Connection.has_input is the one look that all idle closes take.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import replace
@@ -124,7 +125,7 @@
         try:
             flow.id = self.flows.add(flow)
         except TableFull:
-            self._finish(flow, Answer(Verdict.TURNED_DOWN, wait=self.settings.max_wait_advice))
+            self._finish(flow, self.turned_down(math.inf))
             return flow
         self.outstanding += 1
         flow.backstop = self.deadlines.set(flow.deadline, lambda: self._overdue(flow))
@@ -188,8 +189,7 @@
 
     def _not_taken(self, flow: Flow) -> None:
         self.counters.add("in.not_durable")
-        wait = self.settings.max_wait_advice or WAIT_ADVICE
-        self._finish(flow, Answer(Verdict.TURNED_DOWN, wait=wait))
+        self._finish(flow, self.turned_down())
 
     def detach(self, flow: Flow, waiter: EdgeSide) -> None:
         """As `leave`, but what has begun of a job that must not run twice is waited for, so that a
@@ -407,11 +407,12 @@
             for action in self.module.handle(self.clock.now(), events):
                 self._act(action)
 
-    def _wait(self, wait: float | None) -> float | None:
-        """How long a turned-down client is told to stay away, in ms."""
+    def turned_down(self, wait: float | None = None) -> Answer:
+        """The answer that asks a client to stay away for so many ms, where the settings let it be told."""
         if not self.settings.may_advise_wait:
-            return None
-        return min(self.settings.max_wait_advice, wait if wait is not None else WAIT_ADVICE)
+            return Answer(Verdict.TURNED_DOWN)
+        wait = min(self.settings.max_wait_advice, WAIT_ADVICE if wait is None else wait)
+        return Answer(Verdict.TURNED_DOWN, wait=wait)
 
     def _act(self, action: api.Action) -> None:
         if isinstance(action, api.Send):
@@ -423,7 +424,7 @@
         elif isinstance(action, api.Refuse | api.Fail):
             flow = self.flows.get(action.request)
             if flow is not None and isinstance(action, api.Refuse):
-                self._finish(flow, Answer(Verdict.TURNED_DOWN, wait=self._wait(action.wait)))
+                self._finish(flow, self.turned_down(action.wait))
             elif flow is not None:
                 self._finish(flow, FAILED)
         elif isinstance(action, api.SetTimer):
--- a/eiderpin/net/edge.py
+++ b/eiderpin/net/edge.py
@@ -202,7 +202,7 @@
         if cls in self.front.core.classes:
             self.front.core.count_answer(cls, Verdict.TURNED_DOWN)
         self.keep, self.busy = False, True
-        self.answer(NO_FLOW, Answer(Verdict.TURNED_DOWN, wait=self.front.core.settings.max_wait_advice))
+        self.answer(NO_FLOW, self.front.core.turned_down(math.inf))
 
     # what a flow calls
 
@@ -295,7 +295,7 @@
             edge = self.room.next(now)
             if edge is None or (edge.spare is Spare.KEPT and len(self.connections) < self.most + self.extra):
                 break
-            if not edge.conn.closing and _has_input(edge.conn.sock):
+            if not edge.conn.closing and edge.conn.has_input():
                 edge.last = now  # it is about to be read
                 edge.file()
                 continue
@@ -337,7 +337,7 @@
             if edge.conn.unsent and not edge.conn.closing and now - edge.last > UNREAD_LIMIT:
                 edge.conn.close()
                 edge.end()
-            elif edge.idle and now - edge.last > IDLE_LIMIT and not _has_input(edge.conn.sock):
+            elif edge.idle and now - edge.last > IDLE_LIMIT and not edge.conn.has_input():
                 edge.close()
         self.loop.deadlines.set(now + SWEEP, self.sweep)
 
@@ -361,7 +361,7 @@
         refuses = self.away is Away.CLIENTS and now >= self.away_at + HALF_SENT
         if now >= self.away_at:
             for edge in self.connections.all():
-                if not edge.sent_away or edge.conn.closing or _has_input(edge.conn.sock):
+                if not edge.sent_away or edge.conn.closing or edge.conn.has_input():
                     continue
                 # The first request of a new connection is on its way, and is answered.
                 if edge.idle and (edge.served or now - edge.last > ON_ITS_WAY):
@@ -375,7 +375,7 @@
         of theirs lies unread comes first, and what it leads to needs the listener, for call-backs."""
         self.look_for_idle()
         for edge in self.connections.all():
-            if edge.spare is Spare.HALF and not _has_input(edge.conn.sock):
+            if edge.spare is Spare.HALF and not edge.conn.has_input():
                 edge.refuse_more()
         if all(edge.conn.closing for edge in self.connections.all()):
             self.listener.pause()
@@ -451,14 +451,6 @@
     """What is not taken is dropped as it comes."""
 
 
-def _has_input(sock: socket.socket) -> bool:
-    """Whether something has come that has not been read yet."""
-    try:
-        return bool(sock.recv(1, socket.MSG_PEEK))
-    except OSError:
-        return False
-
-
 def _number(headers: dict[str, str], name: str, form: re.Pattern[str]) -> float | None:
     text = headers.get(name)
     if text is None:
--- a/eiderpin/net/gearman_front.py
+++ b/eiderpin/net/gearman_front.py
@@ -405,9 +405,10 @@
         now = self.loop.clock.now()
         for c in self.connections.all():
             works = c.entry is not None or c.abilities or c.running
-            if not works and not c.open and not c.conn.unsent and now - c.last > QUIET:
+            idle = not works and not c.open and not c.conn.unsent and now - c.last > QUIET
+            if idle and not c.conn.has_input():
                 c.end()
-                c.conn.close()
+                c.conn.close_when_sent()
         self._away = self.loop.deadlines.set(now + AWAY_EVERY, self.look_for_idle)
 
     def next_worker(self) -> int:
--- a/eiderpin/net/loop.py
+++ b/eiderpin/net/loop.py
@@ -117,6 +117,13 @@
         if not self.connecting:
             self._flush()
 
+    def has_input(self) -> bool:
+        """Whether something has come that has not been read yet."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def _flush(self) -> None:
         try:
             while self.unsent:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -12,6 +12,7 @@
 from eiderpin import service as services
 from eiderpin.net import edge as edges
 from eiderpin.net import loop as loops
+from eiderpin.net.gearman import Kind, pack
 from eiderpin.net.loop import Connection
 from tests.crossing import Peer, Stage, http, job, staged, to_worker, told
 
@@ -97,6 +98,25 @@
             stage.pass_time(loops.LINGER + 100)
             self.assertEqual(len(stage.service.edge.connections), 0)
 
+    def test_gearman_clients_that_rest_are_closed_as_carefully(self) -> None:
+        echo = pack(Kind.ECHO_REQ, b"there?", magic=b"\0REQ")
+        for asks_first in (True, False):
+            with self.subTest(asks_first=asks_first), staged(gearman=True) as stage:
+                client = stage.client("gearman")
+                stage.turn(3)
+                front = stage.loop.connections.all()
+                stage.hold(lambda conn, front=front: conn in front)
+                if asks_first:
+                    client.say(echo)
+                stage.service.stop()
+                stage.pass_time(services.SETTLE + 50)
+                if not asks_first:
+                    client.say(echo)
+                stage.let()
+                stage.turn(5)
+                self.assertEqual(b"there?" in client.look(), asks_first)
+                self.assertEqual(client.ended, "" if asks_first else "closed")
+
     def test_who_says_nothing_is_closed_in_order_within_3_s(self) -> None:
         for late in (False, True):
             with self.subTest(late=late), staged() as stage:
--- a/tests/test_other_customers.py
+++ b/tests/test_other_customers.py
@@ -106,6 +106,35 @@
         self.assertNotEqual(read().classes[0].aim, 1.0)
 
 
+class Refusals(unittest.TestCase):
+    def test_who_may_come_back_when_is_the_settings_word_alone(self) -> None:
+        """Whoever turns a job down: the decisions, the front for want of room, the core for want of slots."""
+        for advises, most in ((True, 1500.0), (True, 100.0), (False, 1500.0), (False, 0.0)):
+            limits = {**SETTINGS["limits"], "retry_after": advises, "max_retry_after": most}
+            with (
+                self.subTest(advises=advises, most=most),
+                staged(workers=0, settings={"limits": limits}) as stage,
+            ):
+                by_module, by_front, by_core = (stage.client() for _ in range(3))
+                by_module.say(job("time-lookup", "a", 300))
+                stage.until(lambda s=stage: s.core.outstanding, "the job")
+                stage.pass_time(400)
+                stage.service.edge.most, room = 0, stage.service.edge.most
+                by_front.say(job("time-lookup", "b"))
+                stage.until(by_front.look, "the front's answer")
+                stage.service.edge.most = room
+                stage.core.flows._limit = len(stage.core.flows._items)
+                stage.core.flows._free.clear()
+                by_core.say(job("time-lookup", "c"))
+                for client in (by_module, by_front, by_core):
+                    got = stage.until(client.look, "the answer")
+                    self.assertIn(b" 503 ", got)
+                    told_wait = got.partition(b"Retry-After: ")[2].partition(b"\r\n")[0]
+                    self.assertEqual(bool(told_wait), advises)
+                    if advises:
+                        self.assertTrue(0 < float(told_wait) <= most / 1000)
+
+
 class Reloads(unittest.TestCase):
     def test_another_customers_file_at_sighup_changes_the_watch_alone(self) -> None:
         """What takes a restart is named, and until then all goes on by the old settings."""
