Limit what waits at workers for its start, by zone, and give up at once what has no hope

Seen with a probe in the decisions (60 dispatchers, parcel-yard): runs of 0.35 s, starts 0.3 to 0.8 s late, 5.5 attempts a request, 19,732 turned away as full. Each of many dispatchers has an attempt at a given worker too seldom for queued() to see its queue, and GUESS_LIMIT keeps others' load from closing it, so all fill the queues of all (7 to 14 jobs a core), where what is late stands before what is not. Besides, with reports in answers a shape's slots jumped between 1 and 13 (learn_report took in_flight - queued, both noisy, where starts tell).

Mend: in each zone as many attempts may wait as are our part of two a worker, at least two, and a quarter of those that run. What waits here without hope is given up when that is so, not at the next round that reaches it.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -11,11 +11,13 @@
 
 from eiderpin import decide
 from eiderpin import interface as api
+from eiderpin.core import learned
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Clock, Deadline, Deadlines
 from eiderpin.core.durability import Keeper, OtherJob
 from eiderpin.core.flows import FAILED, Answer, EdgeSide, Flow, SlotTable, TableFull, Verdict
 from eiderpin.core.invariants import must
+from eiderpin.core.learned import Learned
 from eiderpin.core.schedulings import Scheduling, ServiceEntry, WorkerLink
 
 log = logging.getLogger("eiderpin")
@@ -349,6 +351,11 @@
         brings."""
         self._events.append(event)
 
+    def tell_learned(self, found: Learned) -> None:
+        """What another process has learned, after all that has come in."""
+        self.decide()
+        learned.take(self.module, found)
+
     def let_go(self, flow: Flow) -> None:
         """It lives on elsewhere: nobody is answered and nothing is called off here."""
         flow.ended = True
--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -12,7 +12,7 @@
 import heapq
 import math
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterable
 from zlib import crc32
 
@@ -48,6 +48,9 @@
 SLOTS_GUESS = 4.0  # slots of a worker where neither ratings nor reports tell ...
 START_LATE = 100.0  # ms; ... a start that comes later than this shows a worker that was full ...
 QUEUED = 60.0  # ms; ... and an attempt whose start was not told by then, one that is full
+WAITING = 2.0  # jobs that wait for their start at a worker, from all dispatchers together: in each zone ...
+WAITING_LEAST = 2  # ... each may have its part of them, at least so many ...
+WAITING_SHARE = 0.25  # ... and, as one that is busier than others, this share of those that it has running
 SILENT = 600.0  # ms without a start, where starts are told, after which an attempt is taken to be lost ...
 STARTS = 8.0  # ... or this many times what half of all starts take, lately, if that is longer
 APART = 100.0  # ms; sends further apart than this reach their worker in their order
@@ -359,6 +362,8 @@
         self.unstarted: deque[Attempt] = deque()  # in the order of their sends
         self.resting: list[tuple[float, str]] = []
         self.gathering: dict[Kind, Gathering] = {}
+        self.waiting: Counter[str] = Counter()  # attempts of ours that wait for their start, by zone ...
+        self.most_waiting = 0  # ... and how many may
         self.waits = 0  # so many waits have begun
         self.leaving: list[tuple[float, int, int, Job]] = []  # when a job that waits may leave its zone
         self.gather = max(GATHER * min(c.aim for c in settings.classes), GATHER_TICKS * settings.tick)
@@ -650,10 +655,11 @@
 
     def learn_report(self, worker: Worker, report: api.Report) -> None:
         shape, queued = worker.shape, report.queued
-        if report.free_slots is not None and not self.learns_slots():
-            shape.slots = max(shape.slots, float(round(report.free_slots)))
-        if report.in_flight is not None and queued is not None and queued >= 0.9:
-            shape.slots = max(1.0, float(round(report.in_flight - queued)))
+        if not self.learns_slots():  # reports are noisy: where starts tell, those do
+            if report.free_slots is not None:
+                shape.slots = max(shape.slots, float(round(report.free_slots)))
+            if report.in_flight is not None and queued is not None and queued >= 0.9:
+                shape.slots = max(1.0, float(round(report.in_flight - queued)))
         if report.in_flight is not None:
             self.observe(worker, report.in_flight, REPORT_AGE)
         elif report.free_slots is not None:
@@ -766,6 +772,7 @@
         """
         left: list[Job] = []
         placed, barren = 0, 0
+        self.count_waiting()
         while barren < FULL_ROUNDS:
             jobs = self.next_jobs(waiting)
             if not jobs:
@@ -786,6 +793,19 @@
         waiting.barren = 0 if placed else min(waiting.barren + 1, BARREN_TURNS)
         waiting.due = self.now + self.gather * (1 + waiting.barren)
 
+    def count_waiting(self) -> None:
+        """How many jobs of ours wait for their start, by zone, and may. What waits at a worker waits before
+        jobs of all dispatchers, and cannot be moved; here it leaves by worth, to who is free first. Among
+        many dispatchers each sees too little of a worker to know of its queue, but its own starts tell."""
+        self.waiting = Counter()
+        if self.s.tells_start:
+            since = self.now - self.silence()
+            open_ = (a for a in self.unstarted if a.sent > since and not (a.lost or self.settled(a)))
+            self.waiting.update(a.worker.zone for a in open_)
+        running = sum(a.started >= 0 for a in self.attempts.values())
+        part = WAITING * len(self.everyone.items) / self.s.instances
+        self.most_waiting = int(max(WAITING_LEAST, part, WAITING_SHARE * running))
+
     def next_jobs(self, waiting: Gathering) -> list[Job]:
         """The up to K jobs that leave first."""
         jobs: list[Job] = []
@@ -801,7 +821,7 @@
             *_, number, job = heapq.heappop(waiting.late)
             if number != job.wait:
                 continue
-            if self.hopeless(job):
+            if self.now > self.hopeless_from(job):
                 if not job.over and not job.out:
                     self.answer(job)
             elif self.still_waits(job):
@@ -824,11 +844,11 @@
             self.answer(job)
         return False
 
-    def hopeless(self, job: Job) -> bool:
-        """Whether no worker could end the job while its answer is still worth something."""
+    def hopeless_from(self, job: Job) -> float:
+        """From when on no worker could end the job while its answer is still worth something."""
         fastest = min((s.slow for s in self.shapes.values()), default=self.slow_mean)
         by = job.deadline if job.spec.late_worth > 0 else job.aim_at
-        return self.now + HOPE * fastest * job.work > by
+        return by - HOPE * fastest * job.work
 
     def latest_start(self, job: Job) -> float:
         """When a job must start at typical speed to end within its aim."""
@@ -876,6 +896,7 @@
             and worker.shuns.get(job.spec.name, (0.0, 0))[0] <= self.now
             and self.room(worker, job.need, self.latest_start(job) < self.now)
             and not self.queued(worker)
+            and self.waiting[worker.zone] < self.most_waiting
             and self.in_time(worker, job)
             and self.cold_allows(worker, job)
             and (job.spec.repeat is not api.Repeat.SINGLE_SHOT or self.sound(worker, job))
@@ -1014,7 +1035,7 @@
         job.scale = self.share_scale(event.tenant)
         value = self.worth(job) * max(job.work, 1.0)
         self.worth_mean += (value - self.worth_mean) * (SHAPE_GAIN if self.worth_mean else 1.0)
-        heapq.heappush(self.expiry, (job.deadline, job.id))
+        heapq.heappush(self.expiry, (min(job.deadline, self.hopeless_from(job)), job.id))
         self.gather_job(job)
 
     def gather_job(self, job: Job) -> None:
@@ -1033,6 +1054,7 @@
     def send(self, job: Job, worker: Worker) -> None:
         attempt = self.commit(job, job.sends, worker, self.now)
         job.sends += 1
+        self.waiting[worker.zone] += self.s.tells_start
         attempt.over = worker.ours + worker.beside > self.slots(worker)
         if worker.cold_until > self.now:
             worker.cold_spent.append((self.now, self.cold_cost(worker, job)))
@@ -1153,10 +1175,15 @@
             self.timer_at = math.inf
 
     def expire(self) -> None:
-        """One final answer in time: whatever is still open at its deadline is answered now."""
+        """One final answer in time: whatever is still open at its deadline is answered now, and what waits
+        here at once when there is no hope for it any more."""
         while self.expiry and (self.expiry[0][0] <= self.now or self.expiry[0][1] not in self.jobs):
             job = self.jobs.get(heapq.heappop(self.expiry)[1])
-            if job is not None and not job.streaming:
+            if job is None or job.streaming:
+                continue
+            if self.now < job.deadline and (job.out or self.now < self.hopeless_from(job)):
+                heapq.heappush(self.expiry, (job.deadline, job.id))
+            else:
                 self.answer(job)
 
     # -- an old version and a new one, side by side
@@ -1168,25 +1195,6 @@
             if event.gone and worker.beside > 0:
                 worker.others, worker.others_at = self.others(worker), self.now
             worker.beside, worker.beside_cold = event.holds.get(worker.name, (0.0, 0.0))
-        if event.learned and self.pace.work <= 0:
-            self.learn_from(event.learned)
-
-    def learn_from(self, learned: dict[str, dict[str, tuple[float, ...]]]) -> None:
-        """Before our first run, what the process beside us has learned is better than guesses."""
-        for name, (slots, misses, slow, run, work) in learned.get("shapes", {}).items():
-            shape = self.shapes.get(name)
-            if shape is not None:
-                if slots:
-                    self.set_slots(shape, slots)
-                shape.misses, shape.slow, shape.pace.run, shape.pace.work = int(misses), slow, run, work
-        for name, (slow, run, work, fault) in learned.get("workers", {}).items():
-            worker = self.workers.get(name)
-            if worker is not None:
-                worker.fault, worker.fault_at = fault, self.now
-                worker.slow, worker.slow_at, worker.pace.run, worker.pace.work = slow, self.now, run, work
-        for mean, run, work in learned.get("fleet", {}).values():
-            self.run_mean, self.pace.run, self.pace.work = mean, run, work
-            self.slow_mean = run / max(work, 1.0)
 
     def beside(self) -> api.Beside:
         """What the process beside us has to know."""
@@ -1197,21 +1205,6 @@
                 holds[worker.name] = (worker.ours, cold)
         return api.Beside(holds)
 
-    def learned(self) -> dict[str, dict[str, tuple[float, ...]]]:
-        """What a process that begins beside us need not find out anew."""
-        if self.pace.work <= 0:
-            return {}
-        return {
-            "shapes": {
-                name: (s.slots, s.misses, s.slow, s.pace.run, s.pace.work) for name, s in self.shapes.items()
-            },
-            "workers": {
-                name: (w.slow, w.pace.run, w.pace.work, self.fault_of(w))
-                for name, w in self.workers.items() if w.pace.work or w.fault
-            },
-            "fleet": {"": (self.run_mean, self.pace.run, self.pace.work)},
-        }
-
     def hand_out(self, request: int, now: float) -> api.Standing | None:
         """Forget a request that goes on in the process beside us; None where it has to stay."""
         job = self.jobs.get(request)
--- a/eiderpin/interface.py
+++ b/eiderpin/interface.py
@@ -267,11 +267,9 @@
 class Beside:
     """What another process holds that stands in for the same instance (an old version and a new one): by
     worker the slots that it has committed, and the slot time that it has sent there while the worker was cold
-    and still counts. It replaces what was told before. `learned` is for one that has seen no run yet:
-    figures of the decisions' own, by kind and name. `gone`: that process has ended, its jobs may run on."""
+    and still counts. It replaces what was told before. `gone`: it has ended, its jobs may run on."""
 
     holds: dict[str, tuple[float, float]] = field(default_factory=dict)
-    learned: dict[str, dict[str, tuple[float, ...]]] = field(default_factory=dict)
     gone: bool = False
 
 
--- a/eiderpin/net/handover.py
+++ b/eiderpin/net/handover.py
@@ -31,10 +31,10 @@
 import orjson
 
 from eiderpin import interface as api
+from eiderpin.core import learned as carried
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.flows import Flow
-from eiderpin.core.learned import check
 from eiderpin.core.moves import Moved, Waits, adopt, asked_by, hand_out
 from eiderpin.net.edge import Edge, EdgeConnection
 from eiderpin.net.loop import Connection, Listener, Loop
@@ -134,13 +134,12 @@
             self.handover.core.tell(api.Beside(holds))
             self.handover.changed()
         elif "learned" in said:
-            learned = check(said["learned"])
-            self.handover.core.tell(api.Beside(self.held, learned))
+            self.handover.core.tell_learned(carried.check(said["learned"]))
         elif "serving" in said:
             self.serving = True
             published = said.get("published")
             self.published = _identity_from(published) if published is not None else None
-            self.put({"learned": self.handover.core.module.learned()})
+            self.put({"learned": carried.of(self.handover.core.module)})
             self.handover.changed()
         elif "news" in said:
             ask = int(said["ask"])
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -508,12 +508,15 @@
             held, answers, go = [], [], threading.Event()
 
             def act(worker: HttpWorker, rid: str, handler: Any) -> None:
+                def work() -> None:  # the connection is free for the next job meanwhile
+                    worker.tell(rid, "started")
+                    while not go.wait(0.3):
+                        worker.tell(rid, "running", share=0.1)
+                    worker.tell(rid, "done", result="x")
+
                 held.append(rid)
                 handler.say(202)
-                worker.tell(rid, "started")
-                while not go.wait(0.3):
-                    worker.tell(rid, "running", share=0.1)
-                worker.tell(rid, "done", result="x")
+                threading.Thread(target=work, daemon=True).start()
 
             def ask(*numbers: int) -> None:
                 for i in numbers:
--- /dev/null
+++ b/tests/test_waiting.py
@@ -0,0 +1,99 @@
+"""How many jobs one dispatcher lets wait for their start at workers, where starts are told."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from eiderpin import interface as api
+from eiderpin.decide import SILENT, WAITING, WAITING_LEAST, WAITING_SHARE, Dispatcher
+from tests.conftest import fleet, listed, make_settings, sends
+
+
+def told(instances: int, workers: int, **changes: object) -> Dispatcher:
+    settings = make_settings(
+        instances=instances, tells_start=True, starts_in_order=True, ratings=False, **changes
+    )
+    settings.classes[0].aim = 2000.0
+    d = Dispatcher(settings, 1)
+    d.handle(1000.0, [listed(fleet(workers))])
+    return d
+
+
+def flood(d: Dispatcher, count: int, at: float = 1001.0, first: int = 1) -> list[api.Send]:
+    return sends(d.handle(at, [api.Request(first + i, "read", 4000.0) for i in range(count)]))
+
+
+def zone(d: Dispatcher, sent: api.Send) -> str:
+    return d.workers[sent.worker].zone
+
+
+def turns(d: Dispatcher, start: float, ms: float, *events: api.Event) -> list[api.Send]:
+    """Turns every 20 ms; the events come with the first."""
+    got, now, first = [], start, list(events)
+    while now < start + ms:
+        got += sends(d.handle(now, [*first, api.TimerFired(d.timer_handle)]))
+        first, now = [], now + 20.0
+    return got
+
+
+@pytest.mark.parametrize(
+    ("instances", "workers"), [(1, 12), (2, 12), (3, 8), (20, 30), (40, 60), (50, 20), (200, 200)]
+)
+def test_no_more_wait_than_are_our_part(instances: int, workers: int) -> None:
+    """In each zone; each that starts lets one more go there, and no burst follows."""
+    d = told(instances, workers)
+    most = max(WAITING_LEAST, int(WAITING * workers / instances))
+    out = flood(d, 500) + turns(d, 1010.0, 40.0)
+    assert Counter(zone(d, s) for s in out) == {"a": most, "b": most}
+    begun = [s for s in out if zone(d, s) == "a"][:2]
+    more = turns(d, 1054.0, 44.0, *(api.Progress(s.request, 0, s.worker, True) for s in begun))
+    assert [zone(d, s) for s in more] == ["a"] * 2
+
+
+def test_who_is_busier_than_others_may_have_a_share_of_what_runs() -> None:
+    d = told(100, 100)
+    out, now, running = flood(d, 500), 1001.0, 0
+    while running <= 40:
+        now += 20.0
+        d.handle(now, [api.Progress(s.request, 0, s.worker, True) for s in out])
+        running = sum(a.started >= 0 for a in d.attempts.values())
+        waits = Counter(a.worker.zone for a in d.attempts.values() if a.started < 0)
+        assert waits["a"] <= max(WAITING_LEAST, WAITING_SHARE * running)
+        out = [api.Send(a.job.id, a.worker.name) for a in d.attempts.values() if a.started < 0]
+    assert waits["a"] > WAITING_LEAST
+
+
+def test_what_has_been_silent_for_long_holds_nobody_back() -> None:
+    d = told(50, 50)
+    assert len(flood(d, 10) + turns(d, 1010.0, SILENT - 20)) == 2 * WAITING_LEAST
+    assert turns(d, 1010.0 + SILENT + 20, 100.0)
+
+
+def test_where_starts_are_not_told_nothing_is_held_back_for_them() -> None:
+    settings = make_settings(instances=50, tells_start=False)
+    d = Dispatcher(settings, 1)
+    d.handle(1000.0, [listed(fleet(50))])
+    assert len(flood(d, 40) + turns(d, 1010.0, 400.0)) == 40
+
+
+def test_what_is_held_back_leaves_by_worth_and_is_given_up_in_time() -> None:
+    """Held here it can still be told at once that it will not be served; in a worker's queue it could not."""
+    d = told(50, 50)
+    flood(d, 30)
+    turns(d, 1010.0, 100.0)
+    given_up = [a for a in d.handle(3700.0, [api.TimerFired(d.timer_handle)]) if isinstance(a, api.Refuse)]
+    assert given_up
+    assert not d.gathering or len(d.jobs) <= 30 - len(given_up)
+
+
+def test_reports_do_not_tell_slots_where_starts_do() -> None:
+    """They are noisy: by what one held and how many waited, a worker of four slots had one to thirteen."""
+    d = told(1, 4, reports_in_answers=True)
+    for held, queued in ((20.0, 7.0), (9.0, 8.2), (30.0, 26.0)):
+        (sent,) = flood(d, 1, at=d.now + 1, first=int(d.now)) + turns(d, d.now + 20, 100.0)
+        report = api.Report(in_flight=held, queued=queued)
+        done = api.AttemptEnded(sent.request, 0, sent.worker, api.Outcome.DONE, 80.0, True, report)
+        d.handle(d.now + 1, [done])
+        assert all(not s.slots for s in d.shapes.values())
