--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -411,6 +411,9 @@
         # A job that is half sent is worth the wait, but those who begin one and stay must not keep us.
         halves = self.stopping_since is not None and self.clock.now() < self.stopping_since + HALVES
         if any(not f.ended for f in self.core.flows.all()) or not self.edge.quiet(halves):
+            if self.parting_since is not None and self.handed_at is None:
+                self.parting_since = None  # one more has come, and workers must be able to call back
+                self.edge.listener.start()
             return False
         if self.gearman is not None and any(c.conn.unsent for c in self.gearman.connections.all()):
             return False
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -234,6 +234,29 @@
             self.assertEqual({c.ended for c in clients}, {"closed"})
             self.assertEqual(len(stage.service.edge.connections), 0)
 
+    def test_a_job_that_comes_at_the_very_end_by_the_other_front_is_served(self) -> None:
+        """The HTTP listener has gone already; the job's worker can call back all the same."""
+        with staged(gearman=True) as stage:
+            resting, late = rested(stage), stage.client("gearman")
+            stage.turn(3)
+            late.say(pack(Kind.CAN_DO, b"no-class-of-ours", magic=b"\0REQ"))  # a worker's, so it stays
+            stage.turn(3)
+            stage.service.stop()
+            stage.pass_time(services.LINGER + 50)
+            while stage.service.edge.listener.on:
+                self.assertFalse(stage.service.over())
+                stage.pass_time(20)
+            late.say(pack(Kind.SUBMIT_JOB, b"time-lookup", b"g", b"", magic=b"\0REQ"))
+            stage.until(lambda: stage.core.outstanding, "the job")
+            self.assertFalse(stage.service.over())
+            stage.pass_time(40)
+            name = stage.until(lambda: [w.name for w in stage.workers if "g" in w.begun()], "it to begin")[0]
+            stage.client().say(told("g", name, "done", result="ok"))
+            stage.until(lambda: b"ok" in late.look(), "its result")
+            self.until_over(stage)
+            resting.look()
+            self.assertEqual(resting.ended, "closed")
+
     def test_those_who_never_end_do_not_keep_it(self) -> None:
         """Who rests after our end, who sends half a request and stays, workers that hang."""
         with staged() as stage:
