--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -97,3 +97,18 @@
         done = api.AttemptEnded(sent.request, 0, sent.worker, api.Outcome.DONE, 80.0, True, report)
         d.handle(d.now + 1, [done])
         assert all(not s.slots for s in d.shapes.values())
+
+
+def test_what_has_no_hope_is_given_up_at_once_though_no_round_would_reach_it() -> None:
+    """Twenty jobs of more worth, which earn something late, stand before one that does not."""
+    settings = make_settings(instances=50, tells_start=True)
+    settings.classes[1].late_worth, settings.classes[1].worth = 0.5, 10.0
+    d = Dispatcher(settings, 1)
+    d.handle(1000.0, [listed([])])
+    ahead = [api.Request(i, "keyed", 4000.0, hint=100.0) for i in range(20)]
+    d.handle(1001.0, [*ahead, api.Request(99, "read", 4000.0, hint=100.0)])
+    until = d.hopeless_from(d.jobs[99])
+    assert until < d.jobs[99].deadline - 2000
+    for now, gone in ((until - 5.0, []), (until + 5.0, [99])):
+        actions = d.handle(now, [api.TimerFired(d.timer_handle)])
+        assert [a.request for a in actions if isinstance(a, api.Refuse)] == gone
