Bound a cold worker's calls by their number, and let small ones share more of its budget

Mend: a small call costs half a mean one at least, and the parts that may be used at once are bounded by the number of calls itself, N + sqrt(N) + 1.

--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -713,8 +713,8 @@
         return sum(c for _, c in spent) + worker.beside_cold + cost <= self.cold_part(worker, cost)
 
     def cold_cost(self, worker: Worker, job: Job) -> float:
-        """What a job takes of the budget, in slot time. Calls count as work does: a small one as a mean."""
-        return max(self.expected_run(worker, job), self.run_mean) * job.need
+        """What a job takes of the budget, in slot time. Calls count too: a small one as half a mean one."""
+        return max(self.expected_run(worker, job), self.run_mean / 2) * job.need
 
     def cold_part(self, worker: Worker, cost: float) -> float:
         """Slot time that we alone may send a cold worker within the window, for a job of this cost; 0: none.
@@ -728,11 +728,12 @@
         """
         window = self.s.cold_window
         whole = self.s.cold_multiple * self.warmth(worker) * self.slots(worker) * window
-        calls = whole / cost
+        calls = whole / max(cost, self.run_mean)
+        calls += math.sqrt(calls) + 1.0
         budget = COLD_MARGIN * whole
-        holders = min(self.s.instances, max(1, int(budget / cost)))
+        holders = min(self.s.instances, max(1, int(min(budget / cost, calls))))
         demand = len(self.jobs) * window * D_PER_JOB / max(len(self.everyone.items), 1)
-        used = min(1.0, max(COLD_MARGIN * calls / (calls + math.sqrt(calls) + 1.0), demand / cost))
+        used = min(1.0, max(holders / calls, demand / cost))
         rank = (crc32(worker.name.encode()) + self.s.instance) % self.s.instances
         return budget / holders if rank < int(holders / used) else 0.0
 
