Tell a time-out from the end of an answer, and take a bad list in one place

Read in the whole change once more: WorkerConnection.end asked the reader whether the connection's end completed an answer, and was also what a deadline and a BadMessage called. The look is the end of stream's alone now, and too_late, which only called end, is gone. Discovery had its three lines for what is no list twice, one except clause that could not be reached and one that named subclasses of another; bad() serves both.

--- a/eiderpin/net/discovery.py
+++ b/eiderpin/net/discovery.py
@@ -145,7 +145,6 @@
         before."""
         last = self.reader.at_end()
         if last is not None:
-            last.keep_alive = False
             self.take([last])
             return
         self.core.counters.add("in.discovery_closed")
@@ -167,22 +166,24 @@
         try:
             messages = self.reader.feed(data)
         except http.BadMessage:
-            self.core.counters.add("in.discovery_bad")
-            self.generation = None
-            self.failed()
+            self.bad()
             return
         self.take(messages)
 
+    def bad(self) -> None:
+        """What came is no answer, or no list: the whole list is asked for next."""
+        self.core.counters.add("in.discovery_bad")
+        self.generation = None
+        self.failed()
+
     def take(self, messages: list[http.Message]) -> None:
         conn = self.conn
         try:
             for message in messages:
                 if self.conn is conn:  # else what came before it has ended this connection
                     self.answered(message)
-        except (http.BadMessage, BadList, orjson.JSONDecodeError, ValueError, TypeError):
-            self.core.counters.add("in.discovery_bad")
-            self.generation = None
-            self.failed()
+        except (ValueError, TypeError):  # no JSON, or no list
+            self.bad()
 
     def answered(self, message: http.Message) -> None:
         if message.status != 200:
--- a/eiderpin/net/workers.py
+++ b/eiderpin/net/workers.py
@@ -53,7 +53,7 @@
         self.deadline: Deadline | None = None
         self.rested_at = self.begun_at = 0.0
         self.stood = 0.0  # ms for which it stood idle before this exchange
-        conn.on_open, conn.on_data, conn.on_end = self.opened, self.data, self.end
+        conn.on_open, conn.on_data, conn.on_end = self.opened, self.data, self.ended
 
     def begin(self, request: bytes, scheduling: Scheduling | None) -> None:
         """Take one exchange on, a call's request or a scheduling; it is written once the connection is up."""
@@ -77,7 +77,7 @@
     def limit(self, ms: float) -> None:
         self.drop_deadline()
         loop = self.workers.loop
-        self.deadline = loop.deadlines.set(loop.clock.now() + ms, self.too_late)
+        self.deadline = loop.deadlines.set(loop.clock.now() + ms, self.end)
 
     def put(self) -> None:
         """Write the request, unless it may not begin any more: the connection may have come up late."""
@@ -154,15 +154,19 @@
         else:
             self.close()
 
+    def ended(self) -> None:
+        """The worker has ended it: with that the answer is whole, where it told no length."""
+        last = self.reader.at_end() if self.life is Life.AWAITING else None
+        if last is not None:
+            self.answered(last)
+        else:
+            self.end()
+
     def end(self) -> None:
         """The connection was refused, broke or was closed by the worker, or its time is up. Nothing is sent
         again here: whether it may be is for the decisions to say, by what has gone out."""
         if self.life is Life.CLOSED:
             return
-        last = self.reader.at_end()
-        if last is not None and self.life is Life.AWAITING:
-            self.answered(last)  # its end was the end of the answer
-            return
         scheduling, core = self.scheduling, self.workers.core
         if scheduling is not None:
             stale = self.stood > 0 and core.clock.now() < self.begun_at + STALE_WITHIN
@@ -185,9 +189,6 @@
         self.conn.close()
         self.workers.lost(self)
 
-    def too_late(self) -> None:
-        self.end()
-
     def outlived(self) -> None:
         """What it carries has ended by a call-back. The answer that is still due may come for a while."""
         self.limit(CALL_LIMIT)
@@ -315,7 +316,7 @@
         waiting.append(connection)
         connection.rested_at = self.loop.clock.now()
         connection.deadline = self.loop.deadlines.set(
-            connection.rested_at + self.trust(), connection.too_late
+            connection.rested_at + self.trust(), connection.end
         )
 
     def lost(self, connection: WorkerConnection) -> None:
--- a/tests/test_worker_answers.py
+++ b/tests/test_worker_answers.py
@@ -157,6 +157,21 @@
                 stage.pass_time(200)
                 self.assertEqual(worker_conns(stage), 0)
 
+    def test_an_answer_that_is_given_up_is_none(self) -> None:
+        """A probe's answer without a length: whole where its connection ends, and else never."""
+        for ends, name in ((True, "answered"), (False, "failed")):
+            with self.subTest(ends=ends), staged(workers=1) as stage:
+                stage.service.workers.probe(stage.core.entries["w0"])
+                (peer,) = stage.until(lambda s=stage: [p for p in s.workers[0].look() if p.requests()], "it")
+                peer.say(b"HTTP/1.1 200 X\r\n\r\n")
+                stage.turn(3)
+                if ends:
+                    peer.close()
+                    stage.turn(5)
+                stage.pass_time(1100)
+                self.assertEqual(stage.counted(f"out.probe.{name}"), 1)
+                self.assertEqual(worker_conns(stage), 0)
+
     def test_a_202_after_the_call_back_leaves_the_connection_in_use(self) -> None:
         with staged(workers=1) as stage:
             client, peer = ask(stage, "result-post", "a")
