Let another member answer where the one asked first has a failing disk

The test's put goes on from member to member while none leads; where it came round to the member without a disk after that had found out, Member.submit and .read said Refused, which Asking takes as the store's own no. Ruled out: a lost change (the other two had a leader and took it) and a slow machine (any order of doors that comes back there fails). To blame: `done(Refused("the disk of this member fails"))` in both. One member can't speak for the cluster, so it is NotLeader with its reason now, and the next door is asked; nothing was taken, and the client's number is the same. The test asks the member with the failing disk first, with a read and with a change: it fails at once without this.

--- a/eiderpin/store/member.py
+++ b/eiderpin/store/member.py
@@ -308,12 +308,8 @@
         if known is not None:
             known.more.append(done)
             return
-        if self.failed or len(self._commands) >= MOST_WAITING:
-            done(Refused("the disk of this member fails" if self.failed else "too many commands wait"))
-            return
         try:
-            if self.raft.removed:
-                raise NotLeader("")
+            self._may_take(len(self._commands))
             self.raft.propose([pack(Command(client, number, op))])
         except (NotLeader, Refused) as error:
             done(error)
@@ -321,21 +317,26 @@
         self._commands[key] = _Waiting(done, now + within)
         self.flush(now)
 
+    def _may_take(self, waiting: int) -> None:
+        """Raises `NotLeader` (another member may take it: one without a disk is no judge of the cluster) and
+        `Refused`."""
+        if self.failed:
+            raise NotLeader("", "the disk of this member fails")
+        if self.raft.removed:
+            raise NotLeader("")
+        if waiting >= MOST_WAITING:
+            raise Refused(f"{waiting} calls wait already")
+
     def read(self, done: Callable[[Exception | None], None], now: float, within: float) -> None:
         """Call `done` once what is here covers all that was committed before this call (or with why not)."""
-        if self.failed or len(self._reads) >= MOST_WAITING:
-            done(Refused("the disk of this member fails" if self.failed else "too many reads wait"))
-            return
-        self._context += 1
-        self._reads[self._context] = _Read(done, now + within)
         try:
-            if self.raft.removed:
-                raise NotLeader("")
-            self.raft.read(self._context)
+            self._may_take(len(self._reads))
+            self.raft.read(self._context + 1)  # it is answered at the flush, not before
         except (NotLeader, Refused) as error:
-            del self._reads[self._context]
             done(error)
             return
+        self._context += 1
+        self._reads[self._context] = _Read(done, now + within)
         self.flush(now)
 
     def watch(self, prefix: str, after: int, tell: Callable[[list[Event] | None], None]) -> Watch:
--- a/eiderpin/store/raft.py
+++ b/eiderpin/store/raft.py
@@ -52,10 +52,10 @@
 
 
 class NotLeader(Exception):
-    """It leads no more, or never did; `leader` is the one to ask, empty: nobody is known."""
+    """It leads no more, never did or can't now (`why`); `leader` is the one to ask; empty: nobody is known."""
 
-    def __init__(self, leader: str) -> None:
-        super().__init__(f"the leader is {leader}" if leader else "there is no leader now")
+    def __init__(self, leader: str, why: str = "") -> None:
+        super().__init__(why or (f"the leader is {leader}" if leader else "there is no leader now"))
         self.leader = leader
 
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -297,9 +297,14 @@
             store.put("a", b"2")  # another leads
             self.assertNotEqual(it.leader(other_than=lead), lead)
             wait_for(lambda: it.all[lead].status()["disk_fails"], "the disk to be found out")
+            first = it.asking(15.0, lead, *(n for n in it.all if n != lead))
+            self.assertEqual(first.get("a")[0], b"2")  # it is asked first, and those behind it answer
+            first.doors.sort(key=lambda door: door != it.all[lead].door)
+            first.put("a", b"3")
+            self.assertTrue(it.all[lead].status()["disk_fails"])
             resource.prlimit(it.all[lead].process.pid, resource.RLIMIT_FSIZE, limits)  # type: ignore[union-attr]
             it.together()
-            self.assertEqual(it.asking(15.0, lead).get("a", stale=True)[0], b"2")
+            self.assertEqual(it.asking(15.0, lead).get("a", stale=True)[0], b"3")
 
     def test_leases_end_and_take_their_documents_along(self) -> None:
         with cluster() as it:
