--- a/eiderpin/store/raft.py
+++ b/eiderpin/store/raft.py
@@ -52,7 +52,7 @@
 
 
 class NotLeader(Exception):
-    """It leads no more, never did or can't now (`why`); `leader` is the one to ask; empty: nobody is known."""
+    """It leads no more, never did or can't now (`why`); `leader` is the one to ask, empty: none is known."""
 
     def __init__(self, leader: str, why: str = "") -> None:
         super().__init__(why or (f"the leader is {leader}" if leader else "there is no leader now"))
