Let a class that fares badly go first, and late jobs wait until starts show room

To blame: `wait` (by worth alone, so the cheapest class is always last) and `suits` (a late job is held to LATE_RESERVE, which tells nothing of workers that are seldom met).

Now `fares` learns what each class earns, and one under 0.75 of the best goes first; `gives_way` holds late jobs while one of ours waits or starts take over 100 ms, but for one with nothing out.

--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -62,6 +62,7 @@
 FAULTY = 0.35  # ... from which on, so after two failures, it is not sent a job that must not run twice ...
 FAULT_MEMORY = 20.0  # ... until the fault has faded, with this many mean run times
 SPAN_MARGIN = 0.9  # share of a memory span in which a guarded repeat is still sent
+CLASS_LEAST = 0.75  # a class that earns less than this share of what the best one does has its jobs go first
 TENANT_BURST = 2000.0  # ms; a tenant may send this long a part of its share at once
 WAIT_STAKE = 0.5  # least share of its worth that a job may lose by waiting: room that is idle meanwhile is
 # lost to all, also where late answers earn as much
@@ -311,7 +312,7 @@
     return places[:jobs]
 
 
-Held = tuple[int, float, float, int, int, Job]
+Held = tuple[int, bool, float, float, int, int, Job]
 
 
 class Gathering:
@@ -368,6 +369,7 @@
         self.leaving: list[tuple[float, int, int, Job]] = []  # when a job that waits may leave its zone
         self.gather = max(GATHER * min(c.aim for c in settings.classes), GATHER_TICKS * settings.tick)
         self.work: dict[str, float] = {}  # mean run or hint of a class
+        self.fares: dict[str, float] = {}  # share of its worth that a class's requests earned, lately
         self.worth_mean = 0.0  # what a request is worth, in time
         self.starts = [0.0, 0.0]  # ms from a send to its start, lately: elsewhere, and in our own zone
         self.start = SILENT / STARTS  # ms that half of all starts take at most, lately
@@ -526,10 +528,7 @@
         if ready is not worker.ready:
             worker.ready = ready
             for pool in worker.pools:
-                if ready:
-                    pool.add(worker)
-                else:
-                    pool.remove(worker)
+                (pool.add if ready else pool.remove)(worker)
             self.trust(worker)
 
     def discovery(self) -> None:
@@ -810,19 +809,13 @@
     def next_jobs(self, waiting: Gathering) -> list[Job]:
         """The up to K jobs that leave first."""
         jobs: list[Job] = []
-        while len(jobs) < K and waiting.in_time:
-            *_, number, job = heapq.heappop(waiting.in_time)
+        while len(jobs) < K and (heap := waiting.in_time or waiting.late):
+            *_, number, job = heapq.heappop(heap)
             if number != job.wait:
                 continue  # it has left for another kind of round
-            if self.latest_start(job) < self.now:
+            if heap is waiting.in_time and self.latest_start(job) < self.now:
                 self.wait(waiting, job)  # its time has passed while it waited
-            elif self.still_waits(job):
-                jobs.append(job)
-        while len(jobs) < K and waiting.late:
-            *_, number, job = heapq.heappop(waiting.late)
-            if number != job.wait:
-                continue
-            if self.now > self.hopeless_from(job):
+            elif heap is waiting.late and self.now > self.hopeless_from(job):
                 if not job.over and not job.out:
                     self.answer(job)
             elif self.still_waits(job):
@@ -830,12 +823,27 @@
         return jobs
 
     def wait(self, waiting: Gathering, job: Job) -> None:
-        """Held jobs leave by worth for the work, then most slack first. Tightest first would serve every job
-        at the edge of its aim under overload, and lose most of them to the first small delay. Those beyond
-        their tenant's share wait with the late ones."""
+        """Held jobs leave by worth for the work, but those of a class that fares far worse than others first;
+        then most slack first. Tightest first would serve every job at the edge of its aim under overload, and
+        lose most of them to the first small delay."""
+        first = self.fares.get(job.spec.name, 1.0) < CLASS_LEAST * max(self.fares.values(), default=1.0)
         latest = self.latest_start(job)
         heap = waiting.late if latest < self.now or job.scale < 1.0 else waiting.in_time
-        heapq.heappush(heap, (-job.priority, -self.worth(job), -latest, job.id, job.wait, job))
+        heapq.heappush(heap, (-job.priority, not first, -self.worth(job), -latest, job.id, job.wait, job))
+
+    def hear_fare(self, job: Job, earned: float) -> None:
+        """A request of a class has ended, with this share of its worth. What is beyond a tenant's share is no
+        measure of its class."""
+        if job.scale == 1.0:
+            fare = self.fares.setdefault(job.spec.name, 1.0)
+            self.fares[job.spec.name] = fare + SHAPE_GAIN * (earned - fare)
+
+    def gives_way(self, job: Job, zone: str) -> bool:
+        """Whether a job, late at typical speed or beyond its tenant's share, is to wait for room to show in
+        our own starts: at a worker it would stand before jobs of other dispatchers that are in time. With
+        nothing of ours out, one may look."""
+        last = job.scale < 1.0 or self.now + self.slow_mean * job.work > job.aim_at
+        return last and bool(self.waiting[zone] or (self.start > START_LATE and self.attempts))
 
     def still_waits(self, job: Job) -> bool:
         """Recheck at the round what held when the job joined it: a memory span may have run out since."""
@@ -898,6 +906,7 @@
             and self.room(worker, job.need, self.latest_start(job) < self.now)
             and not self.queued(worker)
             and self.waiting[worker.zone] < self.most_waiting
+            and not self.gives_way(job, worker.zone)
             and self.in_time(worker, job)
             and self.cold_allows(worker, job)
             and (job.spec.repeat is not api.Repeat.SINGLE_SHOT or self.sound(worker, job))
@@ -927,10 +936,7 @@
         memory = FAULT_MEMORY * self.run_mean
         trusted = worker.ready and self.now - worker.served_at <= memory and self.fault_of(worker) < TRUSTED
         if trusted is not (worker.name in self.trusted.place):
-            if trusted:
-                self.trusted.add(worker)
-            else:
-                self.trusted.remove(worker)
+            (self.trusted.add if trusted else self.trusted.remove)(worker)
 
     def faulty(self, worker: Worker) -> bool:
         """Whether attempts fail here so often that a job which cannot go elsewhere afterwards is kept away.
@@ -1094,6 +1100,7 @@
 
     def answer(self, job: Job) -> None:
         """Give the final answer ourselves: a refusal where that is true, or else a failure."""
+        self.hear_fare(job, 0.0)
         self.actions.append(api.Refuse(job.id, self.advice()) if may_refuse(job) else api.Fail(job.id))
         self.end(job)
 
@@ -1102,13 +1109,11 @@
         return min(self.run_mean, self.s.max_wait_advice) if self.s.may_advise_wait else None
 
     def on_gone(self, event: api.RequestGone) -> None:
-        job = self.jobs.get(event.request)
-        if job is not None:
+        if (job := self.jobs.get(event.request)) is not None:
             self.end(job)
 
     def on_stream(self, event: api.StreamStarted) -> None:
-        job = self.jobs.get(event.request)
-        if job is not None:
+        if (job := self.jobs.get(event.request)) is not None:
             job.streaming = True
 
     def on_ended(self, event: api.AttemptEnded) -> None:
@@ -1131,6 +1136,8 @@
         self.forget(worker)
         if event.final or job.over:
             if not job.over:
+                done = event.outcome is api.Outcome.DONE
+                self.hear_fare(job, done * (1.0 if self.now <= job.aim_at else job.spec.late_worth))
                 self.end(job)
             return
         if not event.stale:
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -7,7 +7,7 @@
 import pytest
 
 from eiderpin import interface as api
-from eiderpin.decide import SILENT, WAITING, WAITING_LEAST, WAITING_SHARE, Dispatcher
+from eiderpin.decide import CLASS_LEAST, SILENT, START_LATE, WAITING, WAITING_LEAST, WAITING_SHARE, Dispatcher
 from tests.conftest import fleet, listed, make_settings, sends
 
 
@@ -112,3 +112,55 @@
     for now, gone in ((until - 5.0, []), (until + 5.0, [99])):
         actions = d.handle(now, [api.TimerFired(d.timer_handle)])
         assert [a.request for a in actions if isinstance(a, api.Refuse)] == gone
+
+
+def serve(d: Dispatcher, cls: str, at: float, *served: bool) -> float:
+    """One request of a class after another, each served in time or failed. Returns when the last ended."""
+    for well in served:
+        number = int(at * 10)
+        out = sends(d.handle(at, [api.Request(number, cls, 4000.0, hint=50.0)])) or turns(d, at + 20, 60.0)
+        outcome = api.Outcome.DONE if well else api.Outcome.ERROR
+        at = d.now + 20.0
+        d.handle(at, [api.AttemptEnded(number, 0, out[0].worker, outcome, 20.0, True)])
+        at += 20.0
+    return at
+
+
+@pytest.mark.parametrize(("failed", "first"), [(0, "pay"), (2, "pay"), (8, "read")])
+def test_held_jobs_of_a_class_that_fares_far_worse_leave_first(failed: int, first: str) -> None:
+    """`pay` is worth nine times as much, so it goes first, until too little of `read` is served."""
+    settings = make_settings(instances=1, zone="")
+    settings.classes[2].worth = 9.0
+    d = Dispatcher(settings, 1)
+    d.handle(1000.0, [listed(fleet(8))])
+    at = serve(d, "pay", 1001.0, *[True] * 10)
+    at = serve(d, "read", at, *[True] * (8 - failed), *[False] * failed)
+    assert (d.fares["read"] < CLASS_LEAST * d.fares["pay"]) is (first == "read")
+    d.handle(at, [listed([])])
+    asked = ("read", "pay", "read", "pay")
+    held = [api.Request(i, cls, 4000.0, hint=50.0) for i, cls in enumerate(asked)]
+    assert not sends(d.handle(at + 1, held))
+    (gathering,) = d.gathering.values()
+    left = [j.spec.name for j in d.next_jobs(gathering)]
+    assert left[:2] == [first] * 2 and sorted(left) == sorted(asked)
+
+
+@pytest.mark.parametrize("late", [20.0, 4 * START_LATE])
+@pytest.mark.parametrize("beside", ["nothing", "one that runs", "one that waits"])
+def test_a_job_that_is_late_waits_for_room_to_show(late: float, beside: str) -> None:
+    """It goes out while starts come at once and nothing of ours waits, or with nothing of ours out at all."""
+    d = told(50, 50)
+    d.handle(1000.0, [listed(fleet(50)[::2])])  # of one zone
+    read = d.s.classes[0]
+    read.aim, read.aim_stretch, read.late_worth = 300.0, 0.0, 0.5
+    if beside != "nothing":
+        (one,) = flood(d, 1) + turns(d, 1010.0, 40.0)
+        started = [api.Progress(one.request, 0, one.worker, True)] if beside == "one that runs" else []
+        d.handle(1060.0, started)
+    for _ in range(40):
+        d.hear_start(late)
+    too_late = api.Request(900, "read", 4000.0, hint=1000.0)
+    got = sends(d.handle(1150.0, [too_late])) + turns(d, 1160.0, 60.0)
+    assert bool(got) is (beside == "nothing" or (late < START_LATE and beside == "one that runs"))
+    in_time = api.Request(901, "read", 4000.0, hint=50.0)
+    assert sends(d.handle(1230.0, [in_time])) + turns(d, 1240.0, 60.0)  # which is held back by none of it
