Do not put a class first whose attempts fail: only room and lateness count

Seen in reading the whole change again: `hear_fare` counted a final error as nothing earned, so under overload a class that all workers fail would go before the others, and fail again. To blame: the outcome multiplied into what was earned, and `answer` after failed attempts. Now only an answer in time or late, and what we give up without a failed attempt, tell of the room that a class gets.

All tests pass.

--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -832,9 +832,9 @@
         heapq.heappush(heap, (-job.priority, not first, -self.worth(job), -latest, job.id, job.wait, job))
 
     def hear_fare(self, job: Job, earned: float) -> None:
-        """A request of a class has ended, with this share of its worth. What is beyond a tenant's share is no
-        measure of its class."""
-        if job.scale == 1.0:
+        """A request of a class has ended, with this share of its worth. One beyond its tenant's share, or of
+        which an attempt failed, is no measure of the room that its class gets."""
+        if job.scale == 1.0 and not job.avoid:
             fare = self.fares.setdefault(job.spec.name, 1.0)
             self.fares[job.spec.name] = fare + SHAPE_GAIN * (earned - fare)
 
@@ -1136,8 +1136,8 @@
         self.forget(worker)
         if event.final or job.over:
             if not job.over:
-                done = event.outcome is api.Outcome.DONE
-                self.hear_fare(job, done * (1.0 if self.now <= job.aim_at else job.spec.late_worth))
+                if event.outcome is api.Outcome.DONE:
+                    self.hear_fare(job, 1.0 if self.now <= job.aim_at else job.spec.late_worth)
                 self.end(job)
             return
         if not event.stale:
