--- a/eiderpin/cli/__init__.py
+++ b/eiderpin/cli/__init__.py
@@ -55,10 +55,15 @@
 
 
 @click.command()
-@click.option("--config", envvar="GW_CONFIG", type=click.Path(),
-              help="The configuration, JSON or TOML. [GW_CONFIG]")
-@click.option("--parts", envvar="EIDERPIN_FRONTS", type=click.Path(),
-              help="Further fronts and parts, JSON. [EIDERPIN_FRONTS]")
+@click.option(
+    "--config", envvar="GW_CONFIG", type=click.Path(), help="The configuration, JSON or TOML. [GW_CONFIG]"
+)
+@click.option(
+    "--parts",
+    envvar="EIDERPIN_FRONTS",
+    type=click.Path(),
+    help="Further fronts and parts, JSON. [EIDERPIN_FRONTS]",
+)
 @click.option("--log-format", type=click.Choice(FORMATS), help="[EIDERPIN_LOG_FORMAT]")
 @click.option("--log-level", type=click.Choice(LEVELS), help="[EIDERPIN_LOG_LEVEL]")
 def run(config: str | None, parts: str | None, log_format: str | None, log_level: str | None) -> None:
--- a/eiderpin/cli/try_it.py
+++ b/eiderpin/cli/try_it.py
@@ -70,9 +70,7 @@
         call(self.dispatcher, "POST", "/_jobs/news", {"id": job, "from": self.name, "state": state, **more})
 
 
-def call(
-    at: tuple[str, int], method: str, path: str, said: Any = None, **headers: str
-) -> tuple[int, str]:
+def call(at: tuple[str, int], method: str, path: str, said: Any = None, **headers: str) -> tuple[int, str]:
     conn = http.client.HTTPConnection(*at, timeout=30)
     try:
         body = json.dumps(said) if said is not None else None
--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -325,9 +325,7 @@
         flow = scheduling.flow
         if flow.job and self.keeper is not None:
             self.keeper.renew(scheduling)
-        self._events.append(
-            api.Progress(flow.id, scheduling.number, scheduling.entry.name, started, share)
-        )
+        self._events.append(api.Progress(flow.id, scheduling.number, scheduling.entry.name, started, share))
         if share > flow.share and not flow.ended:
             flow.share = share
             for waiter in flow.waiters:
@@ -338,9 +336,7 @@
         for waiter in scheduling.flow.waiters:
             waiter.data_part(scheduling.flow, data, warning)
 
-    def probed(
-        self, entry: ServiceEntry, ok: bool, elapsed: float, report: api.Report | None = None
-    ) -> None:
+    def probed(self, entry: ServiceEntry, ok: bool, elapsed: float, report: api.Report | None = None) -> None:
         self.counters.add("out.probe.answered" if ok else "out.probe.failed")
         self._events.append(api.ProbeEnded(entry.name, ok, elapsed, report))
 
--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -347,10 +347,8 @@
         self.workers: dict[str, Worker] = {}
         self.shapes: dict[str, Shape] = {}
         # By tenant: requests that are left of its share, when that was so, and how many come back each ms.
-        self.shares = {
-            t.name: (0.0, 0.0, t.allowance_per_s / 1000.0 / settings.instances)
-            for t in settings.tenants if t.allowance_per_s > 0
-        }
+        limited = [t for t in settings.tenants if t.allowance_per_s > 0]
+        self.shares = {t.name: (0.0, 0.0, t.allowance_per_s / 1000.0 / settings.instances) for t in limited}
         self.pools: dict[Kind, Pool] = {}
         self.everyone = self.pools[None, None, None, None] = Pool()
         self.by_class = False  # some worker runs certain classes only, so rounds gather by class
@@ -567,7 +565,8 @@
     def on_trial(self, worker: Worker, need: float) -> bool:
         """Whether a job may go one slot over what is known, to see whether it starts at once."""
         return (
-            self.learns_slots() and not worker.known_slots
+            self.learns_slots()
+            and not worker.known_slots
             and worker.shape.misses < TRIAL_MISSES
             and self.elsewhere(worker) < 1.0
             and worker.cold_until <= self.now
--- a/eiderpin/durable/log.py
+++ b/eiderpin/durable/log.py
@@ -42,9 +42,7 @@
         try:
             self.found: Found = reading.read(files, apply)
             self._event = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
-            self.flusher = Flusher(
-                files, self.found.segment + 1, self.found.end, self._wake, segment_bytes
-            )
+            self.flusher = Flusher(files, self.found.segment + 1, self.found.end, self._wake, segment_bytes)
         except BaseException:
             self.files.close(self._lock)
             if self._event >= 0:
--- a/eiderpin/fleet/shared_state.py
+++ b/eiderpin/fleet/shared_state.py
@@ -263,4 +263,3 @@
     def kept(self, answer: Answer) -> None:
         if answer.error:
             self.lease, self.told = 0, {}
-
--- a/eiderpin/net/workers.py
+++ b/eiderpin/net/workers.py
@@ -315,9 +315,7 @@
             return
         waiting.append(connection)
         connection.rested_at = self.loop.clock.now()
-        connection.deadline = self.loop.deadlines.set(
-            connection.rested_at + self.trust(), connection.end
-        )
+        connection.deadline = self.loop.deadlines.set(connection.rested_at + self.trust(), connection.end)
 
     def lost(self, connection: WorkerConnection) -> None:
         self.open.discard(connection)
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -95,9 +95,7 @@
             if config.gearman is not None:
                 from eiderpin.net.gearman_front import GearmanFront
 
-                self.gearman = GearmanFront(
-                    self.loop, self.core, config.gearman, config.name, fronts, shared
-                )
+                self.gearman = GearmanFront(self.loop, self.core, config.gearman, config.name, fronts, shared)
             if config.agent_check is not None:
                 from eiderpin.net.agent_check import AgentCheck
 
@@ -494,9 +492,7 @@
         signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
 
 
-def main(
-    path: str | None = None, parts: str | None = None, log_format: str = "", log_level: str = ""
-) -> int:
+def main(path: str | None = None, parts: str | None = None, log_format: str = "", log_level: str = "") -> int:
     """What `python -m eiderpin` and `eiderpin run` do; what is not given is taken from the environment."""
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # one that comes before the loop waits for it
     path = path or os.environ.get("GW_CONFIG")
--- a/eiderpin/store/hints.py
+++ b/eiderpin/store/hints.py
@@ -16,6 +16,7 @@
 AHEAD = 60_000.0  # ms that its writer's clock may be ahead of ours
 MOST = 200 << 10  # bytes; a larger one is not written
 
+
 def pack(learned: Learned, at: float) -> bytes | None:
     """None: there is nothing to say, or too much."""
     data = orjson.dumps({"at": at, "learned": learned}) if learned else b""
--- a/eiderpin/store/identity.py
+++ b/eiderpin/store/identity.py
@@ -88,4 +88,3 @@
         if self.there_is_one or self.missing() or self.name != min(self.members):
             return None
         return Config(self.members, {}, {**self.met, self.name: self.disk})
-
--- a/eiderpin/store/raft.py
+++ b/eiderpin/store/raft.py
@@ -515,9 +515,7 @@
         if peer.paused:
             return
         part = s.data[peer.offset : peer.offset + PART]
-        self._now(
-            Snap(self.name, name, self.term, s.index, s.term, s.config, peer.offset, len(s.data), part)
-        )
+        self._now(Snap(self.name, name, self.term, s.index, s.term, s.config, peer.offset, len(s.data), part))
         peer.paused = True
 
     def _append(self, items: Sequence[tuple[EntryKind, bytes]]) -> None:
@@ -543,9 +541,7 @@
     def _count_commit(self) -> None:
         """The highest entry that a quorum has on disk."""
         voters = self.log.config.voters
-        have = sorted(
-            (self.stable if n == self.name else self.peers[n].match for n in voters), reverse=True
-        )
+        have = sorted((self.stable if n == self.name else self.peers[n].match for n in voters), reverse=True)
         index = have[len(voters) // 2]
         if index > self.commit and self._may_commit(index):
             self._commit_to(index)
@@ -634,9 +630,7 @@
     def _ask_all(self, term: int, pre: bool, force: bool = False) -> None:
         for name in sorted(self.log.config.voters):
             if name != self.name:
-                self._after(
-                    Ask(self.name, name, term, self.log.last, self.log.last_term, pre, force)
-                )
+                self._after(Ask(self.name, name, term, self.log.last, self.log.last_term, pre, force))
 
     def _count_votes(self) -> None:
         if self._quorum({n for n, yes in self.votes.items() if yes}):
--- a/tests/test_discovery_ends.py
+++ b/tests/test_discovery_ends.py
@@ -129,9 +129,7 @@
         """Failing for so long, with a change from before it can be reached again; that comes right after a
         call that fails has begun, the worst moment."""
         modes = ({}, ON_REQUEST)
-        for settings, (name, fails), lasts in itertools.product(
-            modes, FAILURES.items(), (0.0, 12_000.0)
-        ):
+        for settings, (name, fails), lasts in itertools.product(modes, FAILURES.items(), (0.0, 12_000.0)):
             with (
                 self.subTest(on_request=bool(settings), fails=name, lasts=lasts),
                 watching(**settings) as (stage, agent),
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -204,7 +204,6 @@
             self.assertEqual(len(jobs), 5)
             self.assertLess(worker.connections, 5)
 
-
     def test_a_broken_kept_alive_connection_is_a_reset_and_nothing_is_sent_again(self) -> None:
         def cut_second(worker: HttpWorker, rid: str, handler: Any) -> None:
             worker.ran[rid] += 1
@@ -322,6 +321,7 @@
         with running([HttpWorker("h1")], limits={"sockets": 256}) as (program, _):
             host, port = program.edge.split(":")
             with contextlib.ExitStack() as held:
+
                 def connect() -> socket.socket:
                     return held.enter_context(socket.create_connection((host, int(port)), timeout=20))
 
@@ -470,7 +470,6 @@
             program.reading.join(20)
             self.assertIn("answer.result-post.succeeded 2", program.lines)
 
-
     def test_sigterm_waits_for_a_job_that_is_half_sent(self) -> None:
         with running([HttpWorker("h1")]) as (program, _):
             host, port = program.edge.split(":")
--- a/tests/test_gearman.py
+++ b/tests/test_gearman.py
@@ -64,9 +64,7 @@
         ]
         for data, expected in cases:
             with self.subTest(data=data[:40]):
-                got = [
-                    i.code + "!" * i.fatal if isinstance(i, BadPacket) else i for i in Reader().feed(data)
-                ]
+                got = [i.code + "!" * i.fatal if isinstance(i, BadPacket) else i for i in Reader().feed(data)]
                 self.assertEqual(got, expected)
 
 
--- a/tests/test_identity.py
+++ b/tests/test_identity.py
@@ -304,4 +304,3 @@
         assert name in three.all[leader].status()["voters"]
     finally:
         twin.kill()
-
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -101,9 +101,7 @@
             accepted(6), leased(6), Ended(3.0, 6, "succeeded"),
         ])  # fmt: skip
         plan = {job.accepted.job: step for step, job in ledger.plan(10.0)}
-        self.assertEqual(
-            plan, {1: Step.PLACE, 2: Step.WAIT, 3: Step.LATE, 4: Step.LATE, 5: Step.PLACE}
-        )
+        self.assertEqual(plan, {1: Step.PLACE, 2: Step.WAIT, 3: Step.LATE, 4: Step.LATE, 5: Step.PLACE})
 
     def test_a_snapshot_says_the_same_and_keeps_the_fingerprint(self) -> None:
         ended = Ended(3.0, 1, "succeeded", b"r")
--- a/tests/test_mixed.py
+++ b/tests/test_mixed.py
@@ -135,9 +135,7 @@
         with running([http_worker], fronts=("gearman",)) as (program, _):
             at = program.at["gearman"]
             first, second = GearmanPeer(at), GearmanPeer(at)
-            handles = [
-                p.ask(Kind.SUBMIT_JOB, b"result-post", b"same", b"x").args[0] for p in (first, second)
-            ]
+            handles = [p.ask(Kind.SUBMIT_JOB, b"result-post", b"same", b"x").args[0] for p in (first, second)]
             self.assertEqual(handles[0], handles[1])
             statuses: list[tuple[int, bytes]] = []
             other = threading.Thread(
--- a/tests/test_quality.py
+++ b/tests/test_quality.py
@@ -18,6 +18,10 @@
     run("ruff", "check", "--no-cache", ".")
 
 
+def test_the_formatter_would_change_nothing() -> None:
+    run("ruff", "format", "--check", "--no-cache", ".")
+
+
 def test_mypy() -> None:
     run("mypy", "--cache-dir", "/dev/null")
 
