Let dispatchers follow the store as observers, without a disk or a vote

Need: whoever wants the store's orders and configuration must be a member, with 16 peers at most, and every learner that has caught up votes; so 200 dispatchers on four control machines are not possible. Weighed: learners that stay (each still has a log, a disk and a connection to every peer), a proxy per region (one more process to run and to lose), and observers, as ZooKeeper has them: taken.

Members announce all their observers in one document under one lease, and sum up what these have in force in another. What members and observers do alike with a document is in one place, `followed_documents`. Frames have a module of their own.

--- a/eiderpin/configuration.py
+++ b/eiderpin/configuration.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from eiderpin.net.static_list import Listed
     from eiderpin.parts.durable import Options
+    from eiderpin.parts.observer import FollowOptions
     from eiderpin.parts.store import Options as StoreOptions
 
 FRONTS = "deploy/fronts.json"  # beside the program: which further fronts listen, and where
@@ -47,6 +48,7 @@
     management: tuple[str, int] | None = None  # the operators' door; None: off
     durable: Options | None = None  # jobs that outlive the process; None: off
     store: StoreOptions | None = None  # our member of the replicated store; None: off
+    follow: FollowOptions | None = None  # the members whose observer we are; None: off
     workers: Listed | None = None  # that the configuration lists itself
     inherited: int | None = None  # the descriptor that clients' connections come by; None: we bind `listen`
 
@@ -81,6 +83,11 @@
 
                 config.durable = options.read(said[name], [c.name for c in config.settings.classes])
                 continue
+            if name == "store" and isinstance(said[name], dict) and "follow" in said[name]:
+                from eiderpin.parts import observer as follow_options
+
+                config.follow = follow_options.read(said[name], config.name)
+                continue
             if name == "store":
                 from eiderpin.parts import store as store_options
 
--- a/eiderpin/fleet/shared_state.py
+++ b/eiderpin/fleet/shared_state.py
@@ -6,16 +6,19 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 import orjson
 
 from eiderpin.core import learned as carried
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.learned import Learned
 from eiderpin.fleet.comeback import Comeback
+from eiderpin.fleet.followed_documents import FollowedDocuments
 from eiderpin.fleet.incarnation import Incarnation, Standing
-from eiderpin.store import hints, orders
+from eiderpin.store import hints, presence
 from eiderpin.store.host import StoreHost
-from eiderpin.store.names import CURRENT, PRESENT
+from eiderpin.store.names import CURRENT, OBSERVERS, PRESENT, WORKER_ORDERS
+from eiderpin.store.presence import LiveDispatchers
 from eiderpin.store.raft import Refused
 from eiderpin.store.state import Answer, Compacted, Event, Grant, Keep, Operation, Put, Transaction
 
@@ -25,6 +28,7 @@
 WITHIN = 900.0
 HINTS_WITHIN = 10_000.0  # ms after our start in which hints of what others have learned are taken
 LEARN_EVERY = 30_000.0  # ms between our own
+MOST_NAMED = 8  # dispatchers that one log line names
 
 
 class SharedState:
@@ -32,14 +36,11 @@
 
     def __init__(
         self, host: StoreHost, core: Dispatcher, name: str, about: Callable[[], dict[str, Any]],
-        take_shared: Callable[[bytes], str], say: Callable[[str], None], warn: Callable[[str], None],
+        take_shared: Callable[[bytes], list[str]], say: Callable[[str], None], warn: Callable[[str], None],
     ) -> None:  # fmt: skip
         self.host, self.core, self.name, self.about, self.say, self.warn = host, core, name, about, say, warn
-        self.take_shared = take_shared
-        self.config = ""  # what became of the shared configuration here
-        self.orders = orders.Orders()
-        core.orders = self.orders
-        self.others: set[str] = set()  # all that are there, we among them
+        self.documents = FollowedDocuments(core, host.counters, take_shared, say, warn)
+        self.live = LiveDispatchers()
         self.hint: tuple[float, Learned] | None = None  # the newest, until the workers are known
         self.hints_until = core.clock.now() + HINTS_WITHIN
         self.learn_at = core.clock.now() + LEARN_EVERY
@@ -52,11 +53,13 @@
         self.told: dict[str, Any] = {}
         self.busy = False  # a command of ours is on its way
         self.follow(self.life.document, lambda rest, value: None if rest else self.named())
-        self.follow(orders.PREFIX, self.ordered)
-        self.follow(CURRENT, self.configured)
+        self.follow(WORKER_ORDERS, self.documents.take_order)
+        # `CURRENT` itself is what holds; what is named below it is nobody's.
+        self.follow(CURRENT, lambda rest, value: None if rest else self.documents.take_config(value))
         self.follow(hints.PREFIX, self.hinted)
         if host.options.listen is not None:
             self.follow(PRESENT, self.met)
+            self.follow(OBSERVERS, self.announced)
         self.beat()
 
     def follow(self, prefix: str, heard: Callable[[str, bytes | None], None]) -> None:
@@ -127,32 +130,6 @@
         else:
             self.submit(self.life.claim(), claimed)
 
-    # -- orders for workers
-
-    def ordered(self, name: str, value: bytes | None) -> None:
-        order = None
-        if value is not None:
-            try:
-                order = orders.read(value)
-            except ValueError as error:
-                self.warn(f"store: {orders.PREFIX}{name} is not followed: {error}")
-                return  # as it was
-        if self.orders.take(name, order):
-            self.host.counters.add("store.orders")
-            self.say(f"store: order for worker {name}: {order if order is not None else 'taken back'}")
-            self.core.reorder([name])
-
-    # -- the configuration
-
-    def configured(self, name: str, value: bytes | None) -> None:
-        """`CURRENT` itself is what holds; its versions are for those who go back."""
-        if name or value is None:
-            return
-        version, _, text = value.partition(b"\n")
-        number = version.decode("ascii", "replace")
-        self.config = f"version {number} {self.take_shared(text)}"
-        (self.warn if "not taken" in self.config else self.say)(f"store: configuration {self.config}")
-
     # -- what has been learned
 
     def hinted(self, name: str, value: bytes | None) -> None:
@@ -186,11 +163,28 @@
     # -- who is there
 
     def met(self, name: str, value: bytes | None) -> None:
-        (self.others.add if value is not None else self.others.discard)(name)
-        if self.name in self.others:
-            ranked = sorted(self.others)
-            if self.core.share(len(ranked), ranked.index(self.name)):
-                self.say(f"store: {len(ranked)} dispatchers share the workers: {', '.join(ranked)}")
+        """A dispatcher that is a member has come or gone."""
+        self.live.member(name, value is not None)
+        self.share()
+
+    def announced(self, member: str, value: bytes | None) -> None:
+        """A member's observers have changed."""
+        try:
+            entries = presence.read(value) if value is not None else None
+        except msgspec.MsgspecError as error:
+            self.warn(f"store: {OBSERVERS}{member} is not followed: {error}")
+            return
+        self.live.announced(member, entries)
+        self.share()
+
+    def share(self) -> None:
+        """Share the workers with all dispatchers that are live."""
+        place = self.live.place(self.name)
+        if place is None or not self.core.share(*place):
+            return
+        names = self.live.names()
+        shown = ", ".join(names[:MOST_NAMED]) + (", ..." if len(names) > MOST_NAMED else "")
+        self.say(f"store: {len(names)} dispatchers share the workers: {shown}")
 
     def beat(self) -> None:
         """Hold our lease, and keep what is said of us true."""
@@ -231,7 +225,7 @@
             self.say(f"store: {self.name}/{self.life} is whole: {steps}")
 
     def all_about(self) -> dict[str, Any]:
-        about = {**self.about(), "config": self.config, "incarnation": str(self.life)}
+        about = {**self.about(), "config": str(self.documents.config), "incarnation": str(self.life)}
         return about | {"stage": self.stage(), "took": self.comeback.took()}
 
     def submit(self, op: Operation, done: Callable[[Answer], None]) -> None:
--- /dev/null
+++ b/eiderpin/fleet/subscription.py
@@ -0,0 +1,246 @@
+"""An observer's copy of the documents it follows, kept by one subscription after the other. Pure.
+
+The copy has a position (generation, revision) that never goes back. Changes are taken only where they join on
+to it, a snapshot only where it is not older. A violation raises `SubscriptionError`: the connection is of no
+use, and the copy is as it was.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TypeAlias
+
+from eiderpin.store.document_digest import DocumentDigest
+from eiderpin.store.observer_protocol import (
+    VERSION,
+    Accepted,
+    Announced,
+    Changes,
+    Fenced,
+    Fleet,
+    FromMember,
+    Ping,
+    Pong,
+    Rejected,
+    SnapshotPage,
+    Subscribe,
+)
+from eiderpin.store.state import Document, Event
+
+
+class Violation(Enum):
+    """What is wrong with a member's message."""
+
+    MALFORMED = "malformed"  # it cannot be decoded, or has no place at this point
+    OLDER_GENERATION = "older_generation"
+    OLDER_REVISION = "older_revision"  # a snapshot from before what was taken already
+    GAP = "gap"  # changes that do not join on to the copy
+    DIGEST = "digest"  # the copy is not what the member has at the same revision
+
+
+class SubscriptionError(Exception):
+    """A member's message cannot be taken."""
+
+    def __init__(self, violation: Violation, text: str) -> None:
+        super().__init__(text)
+        self.violation = violation
+
+
+@dataclass(slots=True, frozen=True)
+class Updated:
+    """Documents have changed; `events` are in order, and all are part of the copy already."""
+
+    events: list[Event]
+
+
+@dataclass(slots=True, frozen=True)
+class Current:
+    """The copy has all that the member had a moment ago. `stale_ms`: how old that may be."""
+
+    stale_ms: float
+
+
+@dataclass(slots=True, frozen=True)
+class Placed:
+    """So many dispatchers are live, and this is the one with that number, from 0."""
+
+    instances: int
+    instance: int
+
+
+@dataclass(slots=True, frozen=True)
+class Known:
+    """All others know that this observer is live."""
+
+
+@dataclass(slots=True, frozen=True)
+class FencedOut:
+    """A later process has the observer's name."""
+
+
+@dataclass(slots=True, frozen=True)
+class Refused:
+    """The member does not serve us, or no longer does; `kind` is a `Rejection` value."""
+
+    kind: str
+    reason: str
+
+
+@dataclass(slots=True, frozen=True)
+class Reply:
+    """To be sent to the member."""
+
+    message: Pong
+
+
+Update: TypeAlias = Updated | Current | Placed | Known | FencedOut | Refused | Reply
+
+
+class Subscription:
+    """What an observer holds and knows across its connections.
+
+    Args:
+        cluster: The store's cluster.
+        name: The observer's name.
+        token: Tells this process from others with the name.
+        region: The observer's region, or empty.
+    """
+
+    def __init__(self, cluster: str, name: str, token: str, region: str = "") -> None:
+        self.cluster, self.name, self.token, self.region = cluster, name, token, region
+        self.generation = 0
+        self.revision = 0
+        self.documents: dict[str, Document] = {}
+        self.digest = DocumentDigest()
+        self.epoch = 0
+        self.session = 0
+        self._accepted: Accepted | None = None
+        self._pages: list[Document] | None = None  # of a snapshot that is under way
+        self._snapshot_due = False  # nothing else counts before it
+        self._distrusted = False  # the copy differs from a member's: the next one is a snapshot
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Generation and revision of the copy."""
+        return (self.generation, self.revision)
+
+    def subscribe(self) -> Subscribe:
+        """The first message of a new connection."""
+        self.session += 1
+        self._accepted, self._pages = None, None
+        generation, revision = (0, 0) if self._distrusted else self.position
+        return Subscribe(
+            VERSION,
+            self.cluster,
+            self.name,
+            self.token,
+            self.session,
+            self.epoch,
+            self.region,
+            generation,
+            revision,
+            self.generation,
+            self.revision,
+        )
+
+    def received(self, message: FromMember) -> list[Update]:
+        """Take a member's message.
+
+        Raises:
+            SubscriptionError: It must not be taken.
+        """
+        if isinstance(message, Rejected):
+            return [Refused(message.kind, message.reason)]
+        if isinstance(message, Accepted):
+            self._take_accepted(message)
+            return []
+        if self._accepted is None:
+            raise SubscriptionError(Violation.MALFORMED, f"{type(message).__name__} before Accepted")
+        if isinstance(message, SnapshotPage):
+            return self._take_page(message, self._accepted)
+        if isinstance(message, Changes):
+            return self._take_changes(message)
+        if isinstance(message, Ping):
+            return self._take_ping(message)
+        if isinstance(message, Fleet):
+            return [Placed(message.instances, message.instance)]
+        if isinstance(message, Announced):
+            self.epoch = message.epoch
+            return [Known()]
+        assert isinstance(message, Fenced)
+        return [FencedOut()]
+
+    def _take_accepted(self, accepted: Accepted) -> None:
+        if self._accepted is not None:
+            raise SubscriptionError(Violation.MALFORMED, "Accepted twice")
+        if accepted.generation < self.generation:
+            text = f"generation {accepted.generation} of the cluster; {self.generation} was seen"
+            raise SubscriptionError(Violation.OLDER_GENERATION, text)
+        if accepted.resumes and (accepted.generation != self.generation or self._distrusted):
+            raise SubscriptionError(Violation.MALFORMED, "it resumes what was not asked for")
+        self._accepted = accepted
+        self._snapshot_due = not accepted.resumes
+
+    def _take_page(self, page: SnapshotPage, accepted: Accepted) -> list[Update]:
+        if page.first:
+            self._pages, self._snapshot_due = [], True
+        if self._pages is None:
+            raise SubscriptionError(Violation.MALFORMED, "a page of no snapshot")
+        if (accepted.generation, page.revision) < self.position:
+            text = f"a snapshot of revision {page.revision}; {self.revision} was taken"
+            raise SubscriptionError(Violation.OLDER_REVISION, text)
+        self._pages += page.documents
+        if not page.last:
+            return []
+        documents, self._pages = self._pages, None
+        return self._replace(accepted.generation, page.revision, documents)
+
+    def _replace(self, generation: int, revision: int, documents: list[Document]) -> list[Update]:
+        """Take a whole snapshot, and tell only what differs from before."""
+        new = {document.name: document for document in documents}
+        events = [Event(revision, name, None) for name in sorted(set(self.documents) - set(new))]
+        for document in documents:
+            old = self.documents.get(document.name)
+            if old is None or old.value != document.value:
+                events.append(Event(document.revision, document.name, document.value))
+        self.documents, self.digest = new, DocumentDigest(documents)
+        self.generation, self.revision = generation, revision
+        self._distrusted = self._snapshot_due = False
+        return [Updated(events), Current(0.0)]
+
+    def _take_changes(self, changes: Changes) -> list[Update]:
+        if changes.base > self.revision:
+            text = f"changes after revision {changes.base}; the copy is at {self.revision}"
+            raise SubscriptionError(Violation.GAP, text)
+        if changes.base >= changes.revision or any(
+            not changes.base < event.revision <= changes.revision for event in changes.events
+        ):
+            raise SubscriptionError(Violation.MALFORMED, "changes that lie outside their own revisions")
+        if self._snapshot_due:
+            raise SubscriptionError(Violation.MALFORMED, "changes before a snapshot is whole")
+        events = [event for event in changes.events if event.revision > self.revision]
+        for event in events:
+            self._apply(event)
+        self.revision = max(self.revision, changes.revision)
+        return [Updated(events)] if events else []
+
+    def _apply(self, event: Event) -> None:
+        self.digest.apply(event)
+        if event.value is None:
+            self.documents.pop(event.name, None)
+        else:
+            document = Document(event.name, event.value, event.revision, event.revision)
+            self.documents[event.name] = document
+
+    def _take_ping(self, ping: Ping) -> list[Update]:
+        reply = Reply(Pong(ping.number))
+        if ping.revision < 0:
+            return [reply]
+        if self._snapshot_due:
+            raise SubscriptionError(Violation.MALFORMED, "current before a snapshot is whole")
+        if ping.revision == self.revision and ping.digest not in (0, self.digest.value):
+            self._distrusted = True
+            raise SubscriptionError(Violation.DIGEST, f"the copy differs at revision {self.revision}")
+        self.revision = max(self.revision, ping.revision)
+        return [reply, Current(ping.stale_ms)]
--- a/eiderpin/parts/store.py
+++ b/eiderpin/parts/store.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+MOST_OBSERVERS = 400  # that a member serves at once, unless it is told otherwise
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 
 
@@ -22,13 +23,15 @@
     outcomes: frozenset[str] = frozenset()  # classes whose outcomes are kept for other dispatchers
     keep: float = 600_000.0  # ms for which they are
     join: bool = False  # an empty directory waits to be added, and begins no cluster
+    observers: tuple[str, int] | None = None  # where observers are served; None: nowhere
+    most_observers: int = MOST_OBSERVERS
 
 
 def read(said: Any, default_name: str, single_shot: Collection[str] = ()) -> Options | None:
     """The `store` part of a configuration; None where it names no directory. Raises `ValueError`."""
     if not isinstance(said, dict):
         raise ValueError("store: an object is needed")
-    known = ("directory", "name", "cluster", "listen", "members", "join", "outcomes", "keep_s")
+    known = ("directory", "name", "cluster", "listen", "members", "join", "outcomes", "keep_s", "observers")
     for name in said:
         if name not in known:
             raise ValueError(f"store.{name}: there is no such setting; there are {', '.join(known)}")
@@ -62,9 +65,26 @@
     options.keep = keep * 1000.0
     if options.listen is None and (options.join or len(options.members) > 1):
         raise ValueError("store.listen: an address is needed where there are other members")
+    _read_observers(said.get("observers"), options)
     return options
 
 
+def _read_observers(said: Any, options: Options) -> None:
+    """Where, and how many, observers are served. Raises `ValueError`."""
+    if not said:
+        return
+    if not isinstance(said, dict):
+        raise ValueError("store.observers: an object is needed")
+    for name in said:
+        if name not in ("listen", "limit"):
+            raise ValueError(f"store.observers.{name}: there is no such setting; there are listen, limit")
+    options.observers = address(said.get("listen"), "store.observers.listen")
+    limit = said.get("limit", MOST_OBSERVERS)
+    if isinstance(limit, bool) or not isinstance(limit, int) or not 1 <= limit <= 10_000:
+        raise ValueError(f"store.observers.limit: {limit!r}; 1 to 10000 is expected")
+    options.most_observers = limit
+
+
 def address(text: Any, where: str) -> tuple[str, int]:
     """Raises `ValueError`."""
     host, _, port = str(text).rpartition(":")
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -9,6 +9,7 @@
 import socket
 import sys
 import tempfile
+from collections.abc import Callable
 from dataclasses import fields
 from typing import TYPE_CHECKING, Any
 
@@ -34,6 +35,8 @@
 from eiderpin.net.workers import HttpWorkers
 
 if TYPE_CHECKING:
+    from eiderpin.fleet.comeback import Comeback
+    from eiderpin.fleet.control_plane import ControlPlane
     from eiderpin.fleet.ownership import Ownership
     from eiderpin.fleet.shared_state import SharedState
     from eiderpin.net.agent_check import AgentCheck
@@ -42,8 +45,10 @@
     from eiderpin.net.management import Management
     from eiderpin.net.static_list import StaticList
     from eiderpin.parts.durable import Options
+    from eiderpin.parts.observer import FollowOptions
     from eiderpin.parts.store import Options as StoreOptions
     from eiderpin.store.host import StoreHost
+    from eiderpin.store.observer_server import ObserverServer
 
 LINGER = 600.0  # ms after SIGTERM in which new connections may still come
 SETTLE = 400.0  # ms after a drain in which the front may still send new clients: idle ones are not yet closed
@@ -60,7 +65,7 @@
 
 
 # What a replaced configuration changes at once; `seed` and `known` are for a start only.
-AT_ONCE = ("seed", "known", "gearman", "agent_check", "management", "inherited", "durable", "store")
+AT_ONCE = ("seed", "known", "gearman", "agent_check", "management", "inherited", "durable", "store", "follow")
 
 
 class Service:
@@ -83,12 +88,14 @@
         self.ledger = self.own_ledger(config.durable) if config.durable is not None else None
         self.store: StoreHost | None = None
         self.shared_state: SharedState | None = None
+        self.observer_server: ObserverServer | None = None
+        self.control_plane: ControlPlane | None = None
         self.gearman: GearmanFront | None = None
         self.agent_check: AgentCheck | None = None
         self.management: Management | None = None
         try:
             self.edge = Edge(
-                self.loop, self.core, where, self.workers.news, self.readiness, fronts, extra, memory,
+                self.loop, self.core, where, self.workers.news, self.health, fronts, extra, memory,
                 on=not shared,
             )  # fmt: skip
             # What is off is not imported: a front's module comes in with the front.
@@ -140,6 +147,8 @@
             self.workers.not_ours = self.handover.pass_on
         if config.store is not None:
             self.keep_store(config.store)
+        if config.follow is not None:
+            self.follow_store(config.follow)
 
     def own_ledger(self, options: Options) -> Ownership:
         """Raises `ConfigError` where the ledger of durable jobs cannot be had."""
@@ -193,6 +202,8 @@
         self.shared_state = SharedState(
             self.store, self.core, options.name, self.about, self.take_shared, self.say, warn
         )
+        if options.observers is not None:
+            self.serve_observers(self.store, options, warn)
         self.shared_state.on_fenced = self.changed
         source = self.discovery
         self.shared_state.listed = lambda: source is None or source.told
@@ -202,6 +213,47 @@
             life = self.shared_state.life
             self.core.keeper = Outcomes(self.store, self.core, options.outcomes, options.keep, life)
 
+    def serve_observers(self, store: StoreHost, options: StoreOptions, warn: Callable[[str], None]) -> None:
+        """Serve dispatchers that follow the store. Raises `ConfigError`."""
+        from eiderpin.store.observer_server import ObserverServer
+
+        assert options.observers is not None
+        try:
+            self.observer_server = ObserverServer(
+                self.loop, self.counters, store.member, options.observers, warn, options.most_observers
+            )
+        except OSError as error:
+            raise ConfigError(f"store.observers.listen: {error}") from None
+        store.observers = self.observer_server
+
+    def follow_store(self, options: FollowOptions) -> None:
+        """Begin as an observer of the store; beside an older process, once that one has ended, for both have
+        one name. Raises `ConfigError`."""
+        if self.handover is not None and (self.handover.older is not None or not self.serving):
+            self.deadlines.set(self.clock.now() + STORE_EVERY, lambda: self.follow_store(options))
+            return
+        try:
+            from eiderpin.fleet.control_plane import ControlPlane, ObserverCalls
+        except ModuleNotFoundError as error:
+            text = f"store.follow: {error.name} is not installed: pip install 'eiderpin[durable]'"
+            raise ConfigError(text) from None
+        source = self.discovery
+        self.control_plane = ControlPlane(
+            self.loop,
+            self.counters,
+            self.core,
+            options,
+            random.Random(f"{self.config.seed} {options.name} {os.getpid()} {self.begun_at}"),
+            self.about,
+            self.take_shared,
+            lambda: source is None or source.told,
+            self.changed,
+            self.say,
+            lambda text: logs.event(text, logging.WARNING),
+        )
+        if self.management is not None:
+            self.management.parts["store"] = ObserverCalls(self.control_plane)
+
     def about(self) -> dict[str, Any]:
         """What other dispatchers and operators may know of us."""
         readiness = self.readiness()
@@ -285,6 +337,8 @@
     @property
     def fenced(self) -> bool:
         """Whether another process has begun by our name in the store."""
+        if self.control_plane is not None and self.control_plane.is_fenced:
+            return True
         return self.shared_state is not None and self.shared_state.fenced
 
     # -- what balancers and operators ask
@@ -302,17 +356,33 @@
             return "down"
         most = min(self.edge.most, self.config.settings.most_held)
         free = 100 - 100 * len(self.core.flows) // most
-        if self.shared_state is not None:  # one that comes back asks for less until it knows enough
-            free = free * self.shared_state.comeback.share(self.clock.now()) // 100
+        comeback = self.comeback
+        if comeback is not None:  # one that comes back asks for less until it knows enough
+            free = free * comeback.share(self.clock.now()) // 100
         return f"up {max(1, free)}%"
 
+    @property
+    def comeback(self) -> Comeback | None:
+        """The stages of our start, where we have a part in the store."""
+        if self.control_plane is not None:
+            return self.control_plane.comeback
+        return self.shared_state.comeback if self.shared_state is not None else None
+
+    def health(self) -> str:
+        """What `/_health` says: the readiness, and how old what we know of the control plane is."""
+        detail = self.control_plane.detail() if self.control_plane is not None else ""
+        return self.readiness() + detail
+
     def ready(self) -> str:
         """The operators' `ready`: whether this process can serve; one that they drained still can."""
         state = self.readiness()
         can = self.stopping_since is None and state != "down"
         if self.store is not None and self.store.cut_off:
             state += ", cut off from the store"
-        if self.shared_state is not None and (stage := self.shared_state.stage()) != "whole":
+        if self.control_plane is not None:
+            state += self.control_plane.detail()
+        comeback = self.comeback
+        if comeback is not None and (stage := comeback.stage(self.clock.now()).value) != "whole":
             state += f", coming back: {stage}"
         if self.fenced:
             return f"fail {state}, fenced: another process has this one's name"
@@ -320,7 +390,10 @@
 
     def show_stat(self) -> str:
         """The operators' `show-stat`: the figures, then a line `eof`."""
-        return orjson.dumps(self.core.figures()).decode() + "\neof"
+        figures = self.core.figures()
+        if self.control_plane is not None:
+            figures["control_plane"] = self.control_plane.status()
+        return orjson.dumps(figures).decode() + "\neof"
 
     def say(self, text: str) -> None:
         logs.event(text)
@@ -381,27 +454,27 @@
         if self.listed is not None and new.workers is not None:
             self.config.workers = new.workers
             self.listed.tell(new.workers)
-        if self.store is not None:  # it follows those that are there
+        if self.store is not None or self.control_plane is not None:  # it follows those that are there
             now = self.config.settings
             new.settings.instances, new.settings.instance = now.instances, now.instance
         names = [f.name for f in fields(Config) if f.name not in AT_ONCE]
         return [n for n in names if getattr(new, n) != getattr(self.config, n)]
 
-    def take_shared(self, text: bytes) -> str:
-        """The configuration that all dispatchers of the store share has changed. Returns what became of it
-        here; one that can't be used changes nothing."""
+    def take_shared(self, text: bytes) -> list[str]:
+        """The configuration that all dispatchers of the store share has changed. Returns what takes a
+        restart. Raises `ValueError` where it can't be used; then nothing has changed."""
         path = self.path or ""
         try:
             with open(path, "rb") as file:
                 own = configuration.parse(file.read(), toml=path.endswith(".toml"))
             new = configuration.read_shared(own, text)
-            configuration.replace_file(configuration.last_shared(self.config), text)
+            if self.config.store is not None:
+                configuration.replace_file(configuration.last_shared(self.config), text)
         except (OSError, ConfigError) as error:
             self.counters.add("in.reloads_bad")
-            return f"not taken: {error}".replace("\n", " ")
+            raise ValueError(str(error)) from None
         self.counters.add("in.reloads")
-        stay = self.take(new)
-        return f"taken; a restart is needed for: {', '.join(stay)}" if stay else "taken"
+        return self.take(new)
 
     def over(self) -> bool:
         if not self.may_end() or (self.ledger is not None and not self.ledger.quiet()):
@@ -432,6 +505,9 @@
         return newer is None or newer.serving or now > self.stopping_since + LATEST_BEGIN
 
     def print_counters(self) -> None:
+        """Print all counters on standard error, as SIGUSR1 asks for."""
+        if self.control_plane is not None:
+            self.counters.counts["observer.age_ms"] = int(self.control_plane.observer.age)
         lines = ["counters", *self.counters.lines(), "end of counters"]
         print("\n".join(lines), file=sys.stderr, flush=True)
 
@@ -460,6 +536,8 @@
             self.turn()
         if self.ledger is not None:
             self.ledger.close()
+        if self.control_plane is not None:
+            self.control_plane.close()
         if self.store is not None:
             self.store.close()
         for number in SIGNALS:
--- a/eiderpin/store/host.py
+++ b/eiderpin/store/host.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
 
 from msgspec.structs import replace
 
@@ -23,6 +24,9 @@
 from eiderpin.store.records import Born, Restored, whole
 from eiderpin.store.transport import Transport
 
+if TYPE_CHECKING:
+    from eiderpin.store.observer_server import ObserverServer
+
 UNREADABLE = (Locked, BadFormat, Damaged, OSError)
 TRY_AGAIN = 500.0  # ms between looks whether a failed disk has come back
 CUT_OFF = 3000.0  # ms without a leader after which a member says that it is cut off
@@ -106,6 +110,7 @@
         self.member.on_config = self.met
         self.begun_at, self.told_missing = loop.clock.now(), False
         self.replaced = False  # another disk has our name, the others say
+        self.observers: ObserverServer | None = None  # where observers are served here
         if self.transport is not None:
             self.transport.has_log = lambda: self.member.raft.log.last > 0
             self.transport.adopt, self.transport.is_retired = self.adopt, self.is_retired
@@ -227,10 +232,13 @@
             "generation": self.member.born.generation,
             "waits_for": self.founding.missing() if self.founding is not None else [],
             "peers": peers if raft.role is Role.LEADER else {}, "removed": raft.removed,
+            "observers": self.observers.status() if self.observers is not None else None,
         }  # fmt: skip
 
     def close(self) -> None:
         """Give the directory up; a leader hands its place over as far as that goes without waiting."""
+        if self.observers is not None:
+            self.observers.close()
         if self.transport is not None:
             self.transport.close()
         self.log.close()
--- a/eiderpin/store/orders.py
+++ b/eiderpin/store/orders.py
@@ -8,8 +8,9 @@
 import orjson
 
 from eiderpin.interface import WorkerEntry, WorkerState
+from eiderpin.store.names import WORKER_ORDERS
 
-PREFIX = "orders/workers/"
+PREFIX = WORKER_ORDERS
 MOST_SLOTS = 10_000.0
 
 
--- a/eiderpin/store/transport.py
+++ b/eiderpin/store/transport.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import random
-import struct
 from collections.abc import Callable
 
 import msgspec
@@ -18,16 +17,15 @@
 from eiderpin.core.deadlines import Deadline
 from eiderpin.net.loop import Connection, Listener, Loop
 from eiderpin.parts.store import address
+from eiderpin.store.framing import Frames, frame
 from eiderpin.store.messages import Message
 
 MAGIC = b"EIDRAFT\n"
 VERSION = 1
-MOST_FRAME = 2 << 20
 MOST_QUEUED = 768 << 10  # bytes that wait for one peer; more is dropped
 MOST_PEERS = 16  # connections that come in
 HELLO_WITHIN = 2000.0  # ms
 RETRY = (50.0, 1000.0)  # ms between tries to connect: from, to; doubled, with jitter
-_LENGTH = struct.Struct(">I")
 
 
 class Hello(msgspec.Struct, array_like=True):
@@ -56,39 +54,6 @@
 _WELCOME = msgspec.msgpack.Decoder(Welcome)
 
 
-def frame(said: Message | Hello | Welcome) -> bytes:
-    body = msgspec.msgpack.encode(said)
-    return _LENGTH.pack(len(body)) + body
-
-
-class Frames:
-    """Bytes in, bodies of frames out. Raises `ValueError` for one that is too long, or a wrong beginning."""
-
-    def __init__(self, magic: bytes) -> None:
-        self.magic, self.buffer = magic, bytearray()
-
-    def feed(self, data: bytes) -> list[bytes]:
-        self.buffer += data
-        if self.magic:
-            have = bytes(self.buffer[: len(self.magic)])
-            if have != self.magic[: len(have)]:
-                raise ValueError(f"it begins with {have!r}, not with {self.magic!r}")
-            if len(have) < len(self.magic):
-                return []
-            del self.buffer[: len(self.magic)]
-            self.magic = b""
-        found = []
-        while len(self.buffer) >= _LENGTH.size:
-            (size,) = _LENGTH.unpack_from(self.buffer)
-            if size > MOST_FRAME:
-                raise ValueError(f"a frame of {size} bytes; up to {MOST_FRAME} are taken")
-            if len(self.buffer) < _LENGTH.size + size:
-                break
-            found.append(bytes(self.buffer[_LENGTH.size : _LENGTH.size + size]))
-            del self.buffer[: _LENGTH.size + size]
-        return found
-
-
 class Outgoing:
     """Our way to one peer."""
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -26,8 +26,9 @@
 from eiderpin.core.learned import Learned
 from eiderpin.store import hints, orders
 from eiderpin.store.asking import Asking, Failed
+from eiderpin.store.framing import Frames, frame
 from eiderpin.store.messages import Beat
-from eiderpin.store.transport import MAGIC, VERSION, Frames, Hello, Welcome, frame
+from eiderpin.store.transport import MAGIC, VERSION, Hello, Welcome
 from tests.standins import HttpWorker, http_call, wait_for
 from tests.test_command import eiderpin
 from tests.test_upgrade import TOOK, said, side
