--- /dev/null
+++ b/benchmarks/scale/__init__.py
@@ -0,0 +1,6 @@
+"""How the program bears size: slopes of costs, the figures of docs/CAPACITY.md, runs with many dispatchers.
+
+python -m benchmarks.scale slopes --out FILE
+python -m benchmarks.scale page --from FILE
+python -m benchmarks.scale run --dispatchers N --seed S [--fault NAME]
+"""
