Show at how many dispatchers a configuration is in force, and who lacks it

`eiderpin config show` and `dispatchers` knew of members alone. They now fold what members announce of their observers: in force at so many of all, those that lag by name, reason and age, and how long the last one took.

--- a/eiderpin/cli/config.py
+++ b/eiderpin/cli/config.py
@@ -7,13 +7,17 @@
 import json
 import sys
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 
-from eiderpin.cli.store import asking, door
+if TYPE_CHECKING:
+    from eiderpin.store.fleet_view import ConfigView
+
+from eiderpin.cli.store import asking, door, fleet_view
 from eiderpin.configuration import ConfigError, read_shared
 from eiderpin.store.asking import Asking, Failed
-from eiderpin.store.names import CURRENT, PRESENT, VERSIONS
+from eiderpin.store.names import CURRENT, IN_FORCE, OBSERVERS, PRESENT, VERSIONS
 
 STAND_IN = {"name": "x", "listen": "127.0.0.1:0", "workers": []}  # for what is each dispatcher's own
 
@@ -99,13 +103,29 @@
             sys.stdout.buffer.write(version_of(s, number))
             return
         now, text, _ = current(s)
-        rows = s.ask("range", prefix=PRESENT, most=1000)["documents"]
+        shown = fleet_view()
+        members = shown.documents(s, PRESENT)
+        observers = shown.live_observers(shown.documents(s, OBSERVERS), OBSERVERS)
+        view = shown.config_view(now, members, observers, shown.documents(s, IN_FORCE))
     sys.stdout.buffer.write(text)
     sys.stdout.flush()
     click.echo(f"version {now}" if now else "no configuration is shared", err=True)
-    for row in rows:
-        said = json.loads(base64.b64decode(row["value"]))
-        click.echo(f"{row['name'].removeprefix(PRESENT)}: {said['config'] or 'none taken'}", err=True)
+    for document in members:
+        config = json.loads(document.value)["config"]
+        click.echo(f"{document.name.removeprefix(PRESENT)}: {config or 'none taken'}", err=True)
+    if observers:
+        _show_in_force(view)
+
+
+def _show_in_force(view: ConfigView) -> None:
+    """Say at how many dispatchers the version is in force, and who lacks it."""
+    line = f"in force at {view.in_force} of {view.dispatchers} dispatchers"
+    if view.everywhere_ms is not None:
+        line += f", everywhere after {view.everywhere_ms / 1000:.1f} s"
+        line += f", last at {view.slowest}" if view.slowest else ""
+    click.echo(line, err=True)
+    for lagging in view.lagging:
+        click.echo(f"  {fleet_view().lagging_line(lagging)}", err=True)
 
 
 @config.command()
--- a/eiderpin/cli/store.py
+++ b/eiderpin/cli/store.py
@@ -8,7 +8,9 @@
 import sys
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from importlib import import_module
 from pathlib import Path
+from types import ModuleType
 from typing import Any, TypeVar
 
 import click
@@ -34,6 +36,15 @@
         sys.exit(CODES[error.kind])
 
 
+def fleet_view() -> ModuleType:
+    """What shows all dispatchers; it reads documents whose format needs a package of its own."""
+    try:
+        return import_module("eiderpin.store.fleet_view")
+    except ModuleNotFoundError as error:
+        text = f"{error.name} is not installed: pip install 'eiderpin[durable]'"
+        raise click.ClickException(text) from None
+
+
 def door(command: F) -> F:
     return click.option(
         "--door", "doors", envvar=["EIDERPIN_DOOR", "GW_MANAGEMENT"], default="", metavar="HOST:PORT[,...]",
--- a/eiderpin/cli/workers.py
+++ b/eiderpin/cli/workers.py
@@ -8,10 +8,10 @@
 
 import click
 
-from eiderpin.cli.store import asking, door
+from eiderpin.cli.store import asking, door, fleet_view
 from eiderpin.store import orders
 from eiderpin.store.asking import Asking, Failed
-from eiderpin.store.names import PRESENT
+from eiderpin.store.names import OBSERVERS, PRESENT
 from eiderpin.store.orders import Order
 
 TRIES = 20
@@ -106,11 +106,19 @@
 def dispatchers(doors: str) -> None:
     """The dispatchers that are there."""
     with asking(doors) as s:
-        rows = s.ask("range", prefix=PRESENT, most=1000)["documents"]
-    for row in rows:
-        said = json.loads(base64.b64decode(row["value"]))
-        name = row["name"].removeprefix(PRESENT)
-        life, stage, took = said.get("incarnation") or "-", said.get("stage", "-"), said.get("took", {})
-        steps = " ".join(f"{step} {ms / 1000:.1f} s" for step, ms in took.items())
-        first = f"{name:16} {said['state']:6} {said['edge']:22} {said['version']:8}"
-        click.echo(f"{first} {life:10} {stage}  {steps}")
+        shown = fleet_view()
+        members = shown.documents(s, PRESENT)
+        observers = shown.live_observers(shown.documents(s, OBSERVERS), OBSERVERS)
+    for document in members:
+        click.echo(_dispatcher(document.name.removeprefix(PRESENT), document.value, "member"))
+    for name, live in observers.items():
+        click.echo(_dispatcher(name, live.entry.about or b"{}", f"observer of {live.member}"))
+
+
+def _dispatcher(name: str, about: bytes, part: str) -> str:
+    """One line of a dispatcher, by what it says of itself."""
+    said = json.loads(about)
+    life, stage, took = said.get("incarnation") or "-", said.get("stage", "-"), said.get("took", {})
+    steps = " ".join(f"{step} {ms / 1000:.1f} s" for step, ms in took.items())
+    state, edge, version = (said.get(key, "-") for key in ("state", "edge", "version"))
+    return f"{name:16} {state:6} {edge:22} {version:8} {life:10} {stage}  {steps}  {part}"
