--- a/eiderpin/store/observer_registry.py
+++ b/eiderpin/store/observer_registry.py
@@ -16,6 +16,8 @@
 from eiderpin.store.presence import FoldedPresence, LiveDispatchers, ObserverEntry, ServedObservers
 from eiderpin.store.state import Event, Put
 
+FENCE_AFTER = 4_000.0  # longer than a member takes to know, and to announce, that a connection is dead
+
 
 @dataclass(slots=True)
 class _Connected:
@@ -27,6 +29,7 @@
     epoch: int
     fleet: tuple[int, int] | None = None  # as it was told last
     fenced: bool = False
+    contested_at: float | None = None  # since when a later process with the name is announced, and connected
 
     @property
     def rank(self) -> float:
@@ -54,7 +57,7 @@
 
     def joined(self, key: int, asked: Subscribe, now: float) -> list[Effect]:
         """An observer is served from now on. Of two processes with one name, the earlier one is fenced."""
-        new = _Connected(key, asked.name, asked.token, asked.epoch)
+        new = _Connected(key, asked.name, asked.token, asked.epoch or self._epoch_of(asked))
         self._connected[key] = new
         old = self._by_name.get(asked.name)
         effects: list[Effect] = []
@@ -63,12 +66,19 @@
                 return self._fence(new)
             effects = self._fence(old)
         self._by_name[asked.name] = new
-        self.served.connect(ObserverEntry(asked.name, asked.token, asked.session, asked.epoch, asked.region))
+        self.served.connect(ObserverEntry(asked.name, asked.token, asked.session, new.epoch, asked.region))
         self.counts.connect(asked.name, now)
-        if asked.epoch:
-            effects += self._compare(new)
+        if new.epoch:
+            effects += self._compare(new, now)
+        if new.epoch and not asked.epoch and not new.fenced:
+            effects.append(Send([key], Announced(new.epoch)))
         return effects
 
+    def _epoch_of(self, asked: Subscribe) -> int:
+        """The epoch of a process that was announced without hearing of it; 0: it was not."""
+        live = self.folded.observers.get(asked.name)
+        return live.epoch if live is not None and live.entry.token == asked.token else 0
+
     def reported(self, key: int, report: Report, now: float) -> None:
         """An observer says what it has in force."""
         observer = self._connected.get(key)
@@ -102,7 +112,7 @@
                 self.counts.current(version_of(event.value), now)
         if any(event.name.startswith(OBSERVERS) for event in events):
             for observer in list(self._connected.values()):
-                effects += self._compare(observer)
+                effects += self._compare(observer, now)
         return effects
 
     def _announced(self, member: str, value: bytes | None, revision: int) -> None:
@@ -110,22 +120,27 @@
             entries = presence.read(value) if value is not None else None
         except msgspec.MsgspecError:
             return  # as it was
+        if member == self.member:  # also of those whose connection is lost, who are announced for a while yet
+            for entry in entries or ():
+                self.served.announce(entry.name, entry.token, entry.epoch or revision)
         self.folded.take(member, entries, revision)
         self.live.announced(member, entries)
 
-    def _compare(self, observer: _Connected) -> list[Effect]:
+    def _compare(self, observer: _Connected, now: float) -> list[Effect]:
         """See what the store says of one of our observers."""
         live = self.folded.observers.get(observer.name)
         if live is None or observer.fenced:
             return []
         if live.entry.token == observer.token:
+            observer.contested_at = None
             if observer.epoch == live.epoch:
                 return []
             observer.epoch = live.epoch
-            self.served.announce(observer.name, observer.token, live.epoch)
             return [Send([observer.key], Announced(live.epoch))]
-        if observer.epoch and live.epoch > observer.epoch:
-            return self._fence(observer)
+        if not observer.epoch or live.epoch < observer.epoch or not live.entry.connected:
+            observer.contested_at = None
+        elif observer.contested_at is None:
+            observer.contested_at = now
         return []
 
     def _fence(self, observer: _Connected) -> list[Effect]:
@@ -138,10 +153,14 @@
     # -- time
 
     def tick(self, now: float) -> list[Effect]:
-        """Tell each observer its place among the dispatchers, where that has changed."""
+        """Tell each observer its place among the dispatchers, where that has changed, and fence those whose
+        name a later process has held for long enough."""
         self.served.expire(now)
         effects: list[Effect] = []
         for observer in self._connected.values():
+            contested = observer.contested_at
+            if contested is not None and not observer.fenced and now >= contested + FENCE_AFTER:
+                effects += self._fence(observer)
             place = None if observer.fenced else self.live.place(observer.name)
             if place is not None and place != observer.fleet:
                 observer.fleet = place
--- a/eiderpin/store/observer_server.py
+++ b/eiderpin/store/observer_server.py
@@ -15,6 +15,7 @@
 from eiderpin.parts.store import MOST_OBSERVERS
 from eiderpin.store.framing import Frames, frame
 from eiderpin.store.member import Member, Watch
+from eiderpin.store.names import OBSERVERS
 from eiderpin.store.observer_protocol import (
     FROM_OBSERVER,
     MAGIC,
@@ -27,7 +28,7 @@
 )
 from eiderpin.store.observer_registry import ObserverRegistry
 from eiderpin.store.observer_sessions import Effect, End, ObserverSessions, Send
-from eiderpin.store.state import Answer, Event, Grant, Keep, Operation, Transaction
+from eiderpin.store.state import Answer, Compare, Event, Grant, Keep, Operation, Transaction
 
 TICK = 50.0  # ms
 SUBSCRIBE_WITHIN = 2_000.0  # ms from the connection on
@@ -35,6 +36,7 @@
 MOST_QUEUED = 256 << 10  # bytes that an observer may leave unread beside what the kernel holds
 LEASE = 10_000.0  # ms for which the announcement outlives the member, so that observers may change to another
 KEEP_EVERY = 2_500.0
+PAGE_GAP = 1.0  # ms between two pages of a snapshot
 ANNOUNCE_EVERY = 1_000.0
 COMMAND_WITHIN = 2_000.0
 
@@ -78,6 +80,7 @@
         self.registry = ObserverRegistry(born.name)
         self._peers: dict[int, _Peer] = {}
         self._lease = 0
+        self._whole = True  # the next announcement has all in it, whether it has changed or not
         self._busy = False  # a command of ours is under way
         self._announce_at = self._keep_at = now
         self._watch: Watch | None = None
@@ -150,7 +153,15 @@
         self._carry_out(effects)
 
     def _flushed(self, key: int) -> None:
-        self._carry_out(self.sessions.flushed(key, self.loop.clock.now()))
+        """All that was written has been taken. Its next page goes in a later turn of the loop: we may be in
+        the midst of sending what comes before it, and others are to have their turn."""
+        if self.sessions.has_pages(key):
+            self.loop.deadlines.set(self.loop.clock.now() + PAGE_GAP, lambda: self._send_next_page(key))
+
+    def _send_next_page(self, key: int) -> None:
+        peer = self._peers.get(key)
+        if peer is not None and not peer.connection.unsent:
+            self._carry_out(self.sessions.flushed(key))
 
     def _closed(self, key: int) -> None:
         peer = self._peers.pop(key, None)
@@ -205,7 +216,8 @@
     def _tick(self) -> None:
         now = self.loop.clock.now()
         self.loop.deadlines.set(now + TICK, self._tick)
-        self._carry_out(self.sessions.tick(now, self.stale_ms))
+        told = self._watch.next - 1 if self._watch is not None else 0
+        self._carry_out(self.sessions.tick(now, told, self.stale_ms))
         if now >= self._announce_at:
             self._announce_at = now + ANNOUNCE_EVERY
             self._carry_out(self.registry.tick(now))
@@ -226,9 +238,17 @@
         if now >= self._keep_at:
             self._submit(Keep(self._lease), self._kept)
             return
-        puts = self.registry.announcement(self._lease, now, whole=False)
+        self._put_announcement(now)
+
+    def _put_announcement(self, now: float) -> None:
+        """Put what has changed. Only if our document is as we know it: a command of before, of which nobody
+        has said what became of it, may have given entries of it their epochs."""
+        name = OBSERVERS + self.member.born.name
+        document = self.member.store.get(name)
+        puts = self.registry.announcement(self._lease, now, self._whole)
         if puts:
-            self._submit(Transaction(list(puts)), self._put)
+            revision = document.revision if document is not None else 0
+            self._submit(Transaction(list(puts), [Compare(name, revision)]), self._put)
 
     def _submit(self, operation: Operation, done: Callable[[Answer], None]) -> None:
         def answered(answer: Answer | Exception) -> None:
@@ -247,11 +267,11 @@
         self._lease = answer.lease
         now = self.loop.clock.now()
         self._keep_at = now + KEEP_EVERY
-        puts = self.registry.announcement(self._lease, now, whole=True)
-        self._submit(Transaction(list(puts)), self._put)
+        self._whole = True
+        self._put_announcement(now)
 
     def _put(self, answer: Answer) -> None:
-        """What was put last is in the store."""
+        self._whole = not answer.ok
 
     def _kept(self, answer: Answer) -> None:
         self._keep_at = self.loop.clock.now() + KEEP_EVERY
--- a/eiderpin/store/observer_sessions.py
+++ b/eiderpin/store/observer_sessions.py
@@ -186,7 +186,7 @@
         asked = session.subscribe
         resumes = self._can_resume(asked.generation, asked.revision)
         accepted = Accepted(VERSION, self.member, self.generation(), resumes)
-        effects: list[Effect] = [Joined(key), Send([key], accepted)]
+        effects: list[Effect] = [Send([key], accepted), Joined(key)]
         if resumes:
             return effects + self._make_current(key, session, asked.revision)
         session.phase = Phase.QUEUED
@@ -221,12 +221,16 @@
             effects += self._make_current(key, session, session.revision)
         return effects
 
-    def flushed(self, key: int, now: float) -> list[Effect]:
-        """All that was sent to this connection has been taken: its next page may go."""
+    def has_pages(self, key: int) -> bool:
+        """Whether some of a snapshot has still to be sent to this connection."""
         session = self.sessions.get(key)
-        if session is None or session.phase is not Phase.SNAPSHOT or not session.pages:
+        return session is not None and session.phase is Phase.SNAPSHOT and bool(session.pages)
+
+    def flushed(self, key: int) -> list[Effect]:
+        """All that was sent to this connection has been taken: its next page may go."""
+        if not self.has_pages(key):
             return []
-        return self._send_page(key, session, first=False)
+        return self._send_page(key, self.sessions[key], first=False)
 
     def _make_current(self, key: int, session: Session, revision: int) -> list[Effect]:
         """Send what has changed since `revision`; from here on it gets each change with all others."""
@@ -280,9 +284,14 @@
                 effects += self._begin(key, session, now)
         return effects
 
-    def tick(self, now: float, stale_ms: float) -> list[Effect]:
-        """To be called every 50 ms or so. `stale_ms`: for how long the member has not heard of a leader."""
-        self.revision = self.store().revision  # revisions without any event are not told of by it
+    def tick(self, now: float, told: int, stale_ms: float) -> list[Effect]:
+        """To be called every 50 ms or so.
+
+        Args:
+            told: All events up to this revision have been given to `applied`. The state may be ahead of it.
+            stale_ms: For how long the member has not heard of a leader.
+        """
+        self.revision = max(self.revision, told)
         effects = self._catch_up(now) + self._admit(now) + self._give_up(now)
         if now >= self._pinged_at + PING_EVERY:
             self._pinged_at = now
--- a/eiderpin/store/presence.py
+++ b/eiderpin/store/presence.py
@@ -3,7 +3,8 @@
 A member puts one document, `observers/MEMBER`, for all of its observers at once, under one lease. Every
 member and dispatcher folds these documents into who is live. An observer that changes its member stands in
 both documents for a while; its token and session say which entry counts. Two processes by one name have
-different tokens; the one that was announced by the later commit has the name, and the other is fenced.
+different tokens; the one that was announced by the later commit has the name, and the other is fenced, once
+it is certain that the later one lives: a member may announce a process that has just died.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
     Attributes:
         epoch: The revision of the commit that announced this process first; 0: the one of this document.
         about: JSON for operators, as in `observer_protocol.Report`.
+        connected: Whether the member has a connection to it now; without one it stays for the lease.
     """
 
     name: str
@@ -29,6 +31,7 @@
     epoch: int = 0
     region: str = ""
     about: bytes = b""
+    connected: bool = True
 
 
 _ENTRIES = msgspec.msgpack.Decoder(list[ObserverEntry])
@@ -89,7 +92,6 @@
     """An observer of ours, from its subscription on."""
 
     entry: ObserverEntry
-    connected: bool = True
     lost_at: float = 0.0
 
 
@@ -124,10 +126,17 @@
             served.entry = msgspec.structs.replace(served.entry, epoch=epoch)
 
     def lose(self, name: str, token: str, now: float) -> None:
-        """Its connection has ended without a word."""
+        """Its connection has ended without a word. One that was never announced is not announced after that:
+        a process that has died at its start would seem to be later than its successor."""
         served = self._of(name, token)
-        if served is not None and served.connected:
-            served.connected, served.lost_at = False, now
+        if served is None or not served.entry.connected:
+            return
+        self.changed = True
+        if served.entry.epoch:
+            served.entry = msgspec.structs.replace(served.entry, connected=False)
+            served.lost_at = now
+        else:
+            del self._served[name]
 
     def remove(self, name: str, token: str) -> None:
         """It has left, is fenced, or is served by another member now."""
@@ -138,7 +147,7 @@
     def expire(self, now: float) -> None:
         """Remove those that have been without a connection for the lease."""
         for name, served in list(self._served.items()):
-            if not served.connected and now >= served.lost_at + self.lease:
+            if not served.entry.connected and now >= served.lost_at + self.lease:
                 del self._served[name]
                 self.changed = True
 
