--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -4,6 +4,7 @@
 
 import json
 import sys
+from pathlib import Path
 
 import click
 
@@ -29,5 +30,23 @@
     sys.exit(1 if result["broken"] else 2 if result["void"] else 0)
 
 
+@main.command()
+@click.option("--repeats", default=3, help="Of each point; three at the least.")
+@click.option("--part", "parts", multiple=True, help="Only these parts.")
+@click.option("--out", type=click.Path(path_type=Path), required=True, help="Where the run is kept, as JSON.")
+def slopes(repeats: int, parts: tuple[str, ...], out: Path) -> None:
+    """Measure how each cost grows, and keep the run for `page`."""
+    from benchmarks.scale import measurement
+    from benchmarks.scale import slopes as measures
+
+    result = measures.measure_all(max(3, repeats), list(parts))
+    if out.exists():  # what other parts, and runs, have brought stays
+        kept = measurement.read_run(out)
+        names = {series.name for series in result.series}
+        result.series = [s for s in kept.series if s.name not in names] + result.series
+        result.scale = kept.scale
+    measurement.write_run(out, result)
+
+
 if __name__ == "__main__":
     main()
--- a/benchmarks/scale/measurement.py
+++ b/benchmarks/scale/measurement.py
@@ -113,14 +113,30 @@
         sizes: list[float],
         once: Callable[[float], dict[str, float]],
     ) -> None:
-        """Measure `once` at each size, as often as the run repeats; each key of its result is a series
-        `name.key`, in `unit` unless the key's name ends with another one."""
-        found: dict[str, list[list[float]]] = {}
-        for size in sizes:
+        """Measure `once` at each size, as often as the run repeats, see `measure_rows`."""
+
+        def point(size: float) -> dict[str, list[float]]:
             row: dict[str, list[float]] = {}
             for _ in range(self.run.repeats):
                 for key, value in once(size).items():
                     row.setdefault(key, []).append(value)
+            return row
+
+        self.measure_rows(name, unit, against, sizes, point)
+
+    def measure_rows(
+        self,
+        name: str,
+        unit: str,
+        against: str,
+        sizes: list[float],
+        point: Callable[[float], dict[str, list[float]]],
+    ) -> None:
+        """Measure `point`, which gives one value a repeat, at each size. Each key of its result is a series
+        `name.key`, in the unit that the key's name ends with, else in `unit`."""
+        found: dict[str, list[list[float]]] = {}
+        for size in sizes:
+            row = point(size)
             for key, values in row.items():
                 found.setdefault(key, []).append(values)
             shown = ", ".join(f"{key} {float(np.median(values)):.4g}" for key, values in row.items())
