--- a/eiderpin/core/__init__.py
+++ b/eiderpin/core/__init__.py
@@ -1,1 +1,1 @@
-"""The dispatcher's core: flows, schedulings and deadlines. It knows no wire."""
+"""The dispatcher's core: flows, attempts and deadlines. It knows no wire."""
--- a/eiderpin/core/schedulings.py
+++ b/eiderpin/core/attempts.py
@@ -1,4 +1,4 @@
-"""Schedulings (attempts) and service entries (the workers that discovery or a front lists)."""
+"""Attempts at requests, and service entries (the workers that discovery or a front lists)."""
 
 from __future__ import annotations
 
@@ -11,17 +11,17 @@
 
 
 class WorkerLink(Protocol):
-    """A way to reach workers. What becomes of a scheduling goes back through `Dispatcher.ended`."""
+    """A way to reach workers. What becomes of an attempt goes back through `Dispatcher.ended`."""
 
-    def send(self, scheduling: Scheduling) -> None: ...
+    def send(self, attempt: Attempt) -> None: ...
 
-    def cancel(self, scheduling: Scheduling) -> None: ...
+    def cancel(self, attempt: Attempt) -> None: ...
 
     def probe(self, entry: ServiceEntry) -> None: ...
 
     def entry_changed(self, entry: ServiceEntry) -> None: ...
 
-    def may_move(self, scheduling: Scheduling) -> bool:
+    def may_move(self, attempt: Attempt) -> bool:
         """Whether it goes on, and its end can be told, without the connection that it was sent on."""
         ...
 
@@ -52,7 +52,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Scheduling:
+class Attempt:
     flow: Flow
     number: int
     entry: ServiceEntry
--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -12,13 +12,13 @@
 from eiderpin import decide
 from eiderpin import interface as api
 from eiderpin.core import learned
+from eiderpin.core.attempts import Attempt, ServiceEntry, WorkerLink
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Clock, Deadline, Deadlines
 from eiderpin.core.durability import Keeper, OtherJob
 from eiderpin.core.flows import FAILED, Answer, EdgeSide, Flow, SlotTable, TableFull, Verdict
 from eiderpin.core.invariants import must
 from eiderpin.core.learned import Learned
-from eiderpin.core.schedulings import Scheduling, ServiceEntry, WorkerLink
 
 log = logging.getLogger("eiderpin")
 
@@ -264,77 +264,77 @@
             known.left_at = now
         known.link.entry_changed(known)
 
-    def may_begin(self, scheduling: Scheduling) -> bool:
+    def may_begin(self, attempt: Attempt) -> bool:
         """The one question that each link asks just before the first byte of an attempt, however long it took
         to get there: is somebody still waiting, does the worker still take new work, and do the decisions
         still stand by it (its window, its deadline, what else of the job may have run)?"""
-        flow, now = scheduling.flow, self.clock.now()
-        if scheduling.ended or not flow.wanted:
+        flow, now = attempt.flow, self.clock.now()
+        if attempt.ended or not flow.wanted:
             return False
         grace = self.settings.drain_grace - GRACE_MARGIN
-        if not scheduling.entry.may_be_sent(now, grace):
+        if not attempt.entry.may_be_sent(now, grace):
             self.counters.add("out.late.drained")
             return False
-        if not self.module.may_begin(flow.id, scheduling.number, now):
+        if not self.module.may_begin(flow.id, attempt.number, now):
             self.counters.add("out.late.overtaken")
             return False
         return True
 
-    def written(self, scheduling: Scheduling) -> None:
+    def written(self, attempt: Attempt) -> None:
         """The whole of a send is out: from here on it may have run."""
-        scheduling.may_have_run = True
-        self.counters.add("out.schedulings")
+        attempt.may_have_run = True
+        self.counters.add("out.attempts")
 
     def ended(
-        self, scheduling: Scheduling, outcome: api.Outcome, result: bytes = b"", stale: bool = False,
+        self, attempt: Attempt, outcome: api.Outcome, result: bytes = b"", stale: bool = False,
         report: api.Report | None = None,
     ) -> None:  # fmt: skip
-        """How a scheduling ended; a first result goes to those who wait. `stale`: for a connection that had
+        """How an attempt ended; a first result goes to those who wait. `stale`: for a connection that had
         stood idle, which says nothing of the worker. `report`: the load that its worker told with it."""
-        if scheduling.ended:
+        if attempt.ended:
             return
-        scheduling.ended = True
-        self.deadlines.drop(scheduling.expiry)
+        attempt.ended = True
+        self.deadlines.drop(attempt.expiry)
         if outcome.never_ran:
-            scheduling.may_have_run = False
+            attempt.may_have_run = False
         self.counters.add(f"out.ended.{outcome.value}")
-        flow = scheduling.flow
+        flow = attempt.flow
         if log.isEnabledFor(logging.DEBUG):
-            fields = {"job": flow.wire_id or flow.unique, "attempt": scheduling.number,
-                      "worker": scheduling.entry.name, "outcome": outcome.value,
-                      "ms": round(self.clock.now() - scheduling.made_at, 1)}  # fmt: skip
+            fields = {"job": flow.wire_id or flow.unique, "attempt": attempt.number,
+                      "worker": attempt.entry.name, "outcome": outcome.value,
+                      "ms": round(self.clock.now() - attempt.made_at, 1)}  # fmt: skip
             log.debug("an attempt has ended", extra=fields)
         if flow.job and self.keeper is not None:
-            self.keeper.released(scheduling, outcome)
+            self.keeper.released(attempt, outcome)
         if outcome is api.Outcome.DONE and not flow.ended:
             self._finish(flow, Answer(Verdict.SERVED, result))
-        elif flow.abandoned and not flow.wanted and all(s.ended for s in flow.schedulings):
+        elif flow.abandoned and not flow.wanted and all(s.ended for s in flow.attempts):
             self._finish(flow, None)  # its client has gone: no further attempt begins
         self._events.append(
             api.AttemptEnded(
-                flow.id, scheduling.number, scheduling.entry.name, outcome,
-                self.clock.now() - scheduling.made_at, flow.ended, report, stale,
+                flow.id, attempt.number, attempt.entry.name, outcome,
+                self.clock.now() - attempt.made_at, flow.ended, report, stale,
             )
         )  # fmt: skip
         self._release(flow)
 
-    def progress(self, scheduling: Scheduling, started: bool, share: float = 0.0) -> None:
-        if scheduling.ended:
+    def progress(self, attempt: Attempt, started: bool, share: float = 0.0) -> None:
+        if attempt.ended:
             return
-        scheduling.accepted = True
-        flow = scheduling.flow
+        attempt.accepted = True
+        flow = attempt.flow
         if flow.job and self.keeper is not None:
-            self.keeper.renew(scheduling)
-        self._events.append(api.Progress(flow.id, scheduling.number, scheduling.entry.name, started, share))
+            self.keeper.renew(attempt)
+        self._events.append(api.Progress(flow.id, attempt.number, attempt.entry.name, started, share))
         if share > flow.share and not flow.ended:
             flow.share = share
             for waiter in flow.waiters:
                 waiter.progress(flow, share)
 
-    def data_part(self, scheduling: Scheduling, data: bytes, warning: bool) -> None:
+    def data_part(self, attempt: Attempt, data: bytes, warning: bool) -> None:
         """A worker's partial data, for those fronts that pass it on."""
-        for waiter in scheduling.flow.waiters:
-            waiter.data_part(scheduling.flow, data, warning)
+        for waiter in attempt.flow.waiters:
+            waiter.data_part(attempt.flow, data, warning)
 
     def probed(self, entry: ServiceEntry, ok: bool, elapsed: float, report: api.Report | None = None) -> None:
         self.counters.add("out.probe.answered" if ok else "out.probe.failed")
@@ -358,9 +358,9 @@
         flow.waiters.clear()
         self.outstanding -= 1
         self.deadlines.drop(flow.backstop)
-        for scheduling in flow.schedulings:
-            scheduling.ended = True
-            self.deadlines.drop(scheduling.expiry)
+        for attempt in flow.attempts:
+            attempt.ended = True
+            self.deadlines.drop(attempt.expiry)
         self.counters.add("out.flows_moved")
         self._by_unique.pop((flow.cls, flow.unique), None)
         self._release(flow)
@@ -379,13 +379,13 @@
         if flow.unique:
             self._by_unique[name] = flow
         self._by_wire[flow.wire_id] = flow
-        for scheduling in flow.schedulings:
-            if not scheduling.ended:
-                self._expire(scheduling)
+        for attempt in flow.attempts:
+            if not attempt.ended:
+                self._expire(attempt)
 
-    def _expire(self, scheduling: Scheduling) -> None:
-        at = scheduling.made_at + scheduling.timeout
-        scheduling.expiry = self.deadlines.set(at, lambda: self._timed_out(scheduling))
+    def _expire(self, attempt: Attempt) -> None:
+        at = attempt.made_at + attempt.timeout
+        attempt.expiry = self.deadlines.set(at, lambda: self._timed_out(attempt))
 
     def flow_of(self, wire_id: str) -> Flow | None:
         return self._by_wire.get(wire_id)
@@ -394,7 +394,7 @@
         return next((f for c in self.classes if (f := self._by_unique.get((c, unique)))), None)
 
     def late_result(self, flow: Flow, result: bytes) -> None:
-        """A worker finished a scheduling that had been counted as ended: its result is as good as any."""
+        """A worker finished an attempt that had been counted as ended: its result is as good as any."""
         if not flow.ended:
             self._events.append(api.RequestGone(flow.id))
             self._finish(flow, Answer(Verdict.SERVED, result))
@@ -422,8 +422,8 @@
             self._send(action)
         elif isinstance(action, api.Cancel):
             flow = self.flows.get(action.request)
-            if flow is not None and must(action.attempt < len(flow.schedulings), "cancels what was sent"):
-                self._cancel(flow.schedulings[action.attempt])
+            if flow is not None and must(action.attempt < len(flow.attempts), "cancels what was sent"):
+                self._cancel(flow.attempts[action.attempt])
         elif isinstance(action, api.Refuse | api.Fail):
             flow = self.flows.get(action.request)
             if flow is not None and isinstance(action, api.Refuse):
@@ -451,30 +451,30 @@
         now = self.clock.now()
         left = max(0.0, flow.deadline - now)
         timeout = left if action.timeout is None else min(left, action.timeout)
-        scheduling = Scheduling(flow, len(flow.schedulings), entry, now, timeout)
-        flow.schedulings.append(scheduling)
+        attempt = Attempt(flow, len(flow.attempts), entry, now, timeout)
+        flow.attempts.append(attempt)
         if log.isEnabledFor(logging.DEBUG):
-            fields = {"job": flow.wire_id or flow.unique, "attempt": scheduling.number, "worker": entry.name}
+            fields = {"job": flow.wire_id or flow.unique, "attempt": attempt.number, "worker": entry.name}
             log.debug("an attempt is sent", extra=fields)
         if must(not flow.ended, "no send after the end"):
-            self._expire(scheduling)
+            self._expire(attempt)
             if flow.job and self.keeper is not None:
-                self.keeper.lease(scheduling, lambda: entry.link.send(scheduling))
+                self.keeper.lease(attempt, lambda: entry.link.send(attempt))
             else:
-                entry.link.send(scheduling)
+                entry.link.send(attempt)
         else:
-            self.ended(scheduling, api.Outcome.NOT_SENT)
+            self.ended(attempt, api.Outcome.NOT_SENT)
 
-    def _timed_out(self, scheduling: Scheduling) -> None:
-        if not scheduling.ended:
-            scheduling.entry.link.cancel(scheduling)
-            self.ended(scheduling, api.Outcome.TIMED_OUT)
+    def _timed_out(self, attempt: Attempt) -> None:
+        if not attempt.ended:
+            attempt.entry.link.cancel(attempt)
+            self.ended(attempt, api.Outcome.TIMED_OUT)
 
-    def _cancel(self, scheduling: Scheduling) -> None:
-        if not scheduling.ended:
+    def _cancel(self, attempt: Attempt) -> None:
+        if not attempt.ended:
             self.counters.add("out.cancels")
-            scheduling.entry.link.cancel(scheduling)
-            self.ended(scheduling, api.Outcome.CANCELLED)
+            attempt.entry.link.cancel(attempt)
+            self.ended(attempt, api.Outcome.CANCELLED)
 
     def _overdue(self, flow: Flow) -> None:
         """The decisions answer each flow before this; should they not, the client still hears."""
@@ -495,7 +495,7 @@
         counts, listed = self.counters.counts, [e for e in self.entries.values() if e.listed_now]
         return {
             "results": {c: {v.value: counts[f"answer.{c}.{v.value}"] for v in Verdict} for c in self.classes},
-            "forwards": counts["out.schedulings"],
+            "forwards": counts["out.attempts"],
             "outstanding": self.outstanding,
             "discovered": len(listed),
             "ejected": len(self.module.avoided(self.clock.now()) & {e.name for e in listed}),
@@ -529,10 +529,10 @@
     def _withdraw(self, flow: Flow) -> None:
         """Of a job that is over nothing more begins. What has not gone out whole is taken back here, at once:
         it never ran, and so that needs no leave to call off what workers have."""
-        for scheduling in flow.schedulings:
-            if not scheduling.ended and not scheduling.may_have_run:
-                scheduling.entry.link.cancel(scheduling)
-                self.ended(scheduling, api.Outcome.NOT_SENT)
+        for attempt in flow.attempts:
+            if not attempt.ended and not attempt.may_have_run:
+                attempt.entry.link.cancel(attempt)
+                self.ended(attempt, api.Outcome.NOT_SENT)
 
     def _give(self, flow: Flow, answer: Answer) -> None:
         if flow.unique and self._by_unique.get((flow.cls, flow.unique)) is flow:
@@ -545,7 +545,7 @@
 
     def _release(self, flow: Flow) -> None:
         """Free the slot once nothing is owed or out. Workers' news of a finished flow find no flow."""
-        if flow.ended and flow.id >= 0 and all(s.ended for s in flow.schedulings):
+        if flow.ended and flow.id >= 0 and all(s.ended for s in flow.attempts):
             self.flows.remove(flow.id)
             if self._by_wire.get(flow.wire_id) is flow:
                 del self._by_wire[flow.wire_id]
--- a/eiderpin/core/durability.py
+++ b/eiderpin/core/durability.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from eiderpin.core.attempts import Attempt
 from eiderpin.core.flows import Answer, Flow
-from eiderpin.core.schedulings import Scheduling
 from eiderpin.interface import Outcome
 
 
@@ -35,15 +35,15 @@
         """Call once all that has been said of it is on disk (True), or cannot be put there (False)."""
         ...
 
-    def lease(self, scheduling: Scheduling, send: Callable[[], None]) -> None:
+    def lease(self, attempt: Attempt, send: Callable[[], None]) -> None:
         """Write the lease; `send` is called once it is on disk, and never where it cannot be written."""
         ...
 
-    def renew(self, scheduling: Scheduling) -> None:
+    def renew(self, attempt: Attempt) -> None:
         """Its worker has told of it."""
         ...
 
-    def released(self, scheduling: Scheduling, outcome: Outcome) -> None:
+    def released(self, attempt: Attempt, outcome: Outcome) -> None:
         """The attempt has ended."""
         ...
 
--- a/eiderpin/core/flows.py
+++ b/eiderpin/core/flows.py
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
 if TYPE_CHECKING:
+    from eiderpin.core.attempts import Attempt
     from eiderpin.core.deadlines import Deadline
-    from eiderpin.core.schedulings import Scheduling
 
 T = TypeVar("T")
 
@@ -119,7 +119,7 @@
     backstop: Deadline | None = None
     wire_id: str = ""  # what workers know it by
     waiters: list[EdgeSide] = field(default_factory=list)
-    schedulings: list[Scheduling] = field(default_factory=list)  # all that were made, by number
+    attempts: list[Attempt] = field(default_factory=list)  # all that were made, by number
     ended: bool = False
     share: float = 0.0  # done of it, as last told
     idempotency_key: str | None = None  # as the client spelt it; workers see it so on every attempt
@@ -135,4 +135,4 @@
         return not self.ended and (bool(self.waiters) or self.background or bool(self.job))
 
     def may_have_run(self) -> bool:
-        return any(s.may_have_run for s in self.schedulings)
+        return any(s.may_have_run for s in self.attempts)
--- a/eiderpin/core/moves.py
+++ b/eiderpin/core/moves.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 from eiderpin import interface as api
+from eiderpin.core.attempts import Attempt
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.flows import EdgeSide, Flow, TableFull
-from eiderpin.core.schedulings import Scheduling
 
 
 @dataclass(slots=True)
@@ -29,7 +29,7 @@
     priority: int
     wire_id: str
     share: float
-    schedulings: list[list[Any]]  # worker, ms ago, time-out, whether it may have run, whether it has ended
+    attempts: list[list[Any]]  # worker, ms ago, time-out, whether it may have run, whether it has ended
     standing: dict[str, Any]  # what the decisions know of it: an `api.Standing`
     idempotency_key: str | None = None
 
@@ -73,7 +73,7 @@
 def hand_out(core: Dispatcher, flow: Flow) -> Moved | None:
     """Take a flow out of here, and out of the decisions; None where it has to stay. Nothing is called off."""
     core.decide()  # what has come in for it must not be lost
-    out = [s for s in flow.schedulings if not s.ended]
+    out = [s for s in flow.attempts if not s.ended]
     if flow.ended or flow.background or not flow.once or flow.job:
         return None  # a durable one belongs to the ledger, and goes with that
     if not all(s.entry.link.may_move(s) for s in out):
@@ -86,7 +86,7 @@
         flow.cls, flow.unique, flow.target.decode("latin-1"), flow.body.decode("latin-1"),
         flow.deadline - now, flow.slots, flow.memory, flow.tenant, flow.key, flow.hint,
         flow.client_retry, flow.priority, flow.wire_id, flow.share,
-        [[s.entry.name, now - s.made_at, s.timeout, s.may_have_run, s.ended] for s in flow.schedulings],
+        [[s.entry.name, now - s.made_at, s.timeout, s.may_have_run, s.ended] for s in flow.attempts],
         asdict(standing), flow.idempotency_key,
     )  # fmt: skip
     core.let_go(flow)
@@ -96,10 +96,10 @@
 def adopt(core: Dispatcher, moved: Moved, waiter: EdgeSide) -> Flow:
     """Take a flow in as it stands elsewhere. Raises `ValueError` where it cannot be."""
     now = core.clock.now()
-    if moved.cls not in core.classes or any(s[0] not in core.entries for s in moved.schedulings):
+    if moved.cls not in core.classes or any(s[0] not in core.entries for s in moved.attempts):
         raise ValueError("its class or a worker of its is not known here")
     standing = api.Standing(**moved.standing)
-    if not all(0 <= number < len(moved.schedulings) for number, _, _ in standing.out):
+    if not all(0 <= number < len(moved.attempts) for number, _, _ in standing.out):
         raise ValueError("an attempt that was never made")
     flow = Flow(
         moved.cls, moved.unique, moved.target.encode("latin-1"), moved.body.encode("latin-1"),
@@ -107,11 +107,9 @@
         moved.client_retry, moved.priority, once=True, wire_id=moved.wire_id, share=moved.share,
         idempotency_key=moved.idempotency_key,
     )  # fmt: skip
-    for number, (name, ago, timeout, may_have_run, ended) in enumerate(moved.schedulings):
+    for number, (name, ago, timeout, may_have_run, ended) in enumerate(moved.attempts):
         entry = core.entries[name]
-        flow.schedulings.append(
-            Scheduling(flow, number, entry, now - ago, timeout, True, may_have_run, ended)
-        )
+        flow.attempts.append(Attempt(flow, number, entry, now - ago, timeout, True, may_have_run, ended))
     try:
         core.take_over(flow, waiter)
     except TableFull:
--- a/eiderpin/fleet/outcomes.py
+++ b/eiderpin/fleet/outcomes.py
@@ -14,11 +14,11 @@
 
 import msgspec
 
+from eiderpin.core.attempts import Attempt
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.durability import OtherJob
 from eiderpin.core.flows import FAILED, Answer, Flow, Verdict
-from eiderpin.core.schedulings import Scheduling
 from eiderpin.fleet import incarnation
 from eiderpin.fleet.incarnation import Incarnation
 from eiderpin.interface import Outcome
@@ -146,14 +146,14 @@
     def when_kept(self, flow: Flow, call: Callable[[bool], None]) -> None:
         call(True)
 
-    def lease(self, scheduling: Scheduling, send: Callable[[], None]) -> None:
+    def lease(self, attempt: Attempt, send: Callable[[], None]) -> None:
         """Claim the job's name before its first byte."""
-        flow = scheduling.flow
+        flow = attempt.flow
         if flow.job in self.claimed:
             send()
             return
         if not self.lease_number or self.life.standing is not incarnation.Standing.HELD:
-            self.give_up(scheduling)
+            self.give_up(attempt)
             return
         name = self.name_of(flow)
         value = msgspec.msgpack.encode(Claim(self.me, fingerprint(flow.target, flow.body)))
@@ -165,10 +165,10 @@
         def done(answer: state.Answer | Exception) -> None:
             if not isinstance(answer, state.Answer) or answer.error or not answer.ok:
                 self.note_unsent(name)
-                if not scheduling.ended:
-                    self.give_up(scheduling)
+                if not attempt.ended:
+                    self.give_up(attempt)
                 return
-            if scheduling.ended or flow.ended:
+            if attempt.ended or flow.ended:
                 self.note_unsent(name)
                 return
             self.unsent.pop(name, None)
@@ -180,21 +180,21 @@
         claim = state.Transaction([put], [state.Compare(name, left_over)])
         self.submit_guarded(claim, done, min(CLAIM_WITHIN, left))
 
-    def give_up(self, scheduling: Scheduling) -> None:
+    def give_up(self, attempt: Attempt) -> None:
         """It can't be claimed, and nothing of it has been sent."""
         self.core.counters.add("outcomes.not_claimed")
-        self.core.ended(scheduling, Outcome.NOT_SENT)
-        self.core.turn_down(scheduling.flow)
+        self.core.ended(attempt, Outcome.NOT_SENT)
+        self.core.turn_down(attempt.flow)
 
     def note_unsent(self, name: str) -> None:
         self.unsent[name] = None
         while len(self.unsent) > MOST_UNSENT:
             self.unsent.popitem(last=False)
 
-    def renew(self, scheduling: Scheduling) -> None:
+    def renew(self, attempt: Attempt) -> None:
         """A claim stands until its end."""
 
-    def released(self, scheduling: Scheduling, outcome: Outcome) -> None:
+    def released(self, attempt: Attempt, outcome: Outcome) -> None:
         """A claim stands until its job's end."""
 
     def end(self, flow: Flow, answer: Answer, told: bool, tell: Callable[[Answer], None]) -> None:
--- a/eiderpin/fleet/ownership.py
+++ b/eiderpin/fleet/ownership.py
@@ -155,7 +155,7 @@
         if keeper is None or not keeper.recovered or keeper.failed or not keeper.quiet():
             return None
         flows = [f for f in self.core.flows.all() if f.job and not f.ended]
-        out = [s for f in flows for s in f.schedulings if not s.ended]
+        out = [s for f in flows for s in f.attempts if not s.ended]
         clients = [(f, w) for f in flows for w in f.waiters]
         if not all(s.entry.link.may_move(s) for s in out):
             return None
--- a/eiderpin/jobs/elsewhere.py
+++ b/eiderpin/jobs/elsewhere.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Callable
 
+from eiderpin.core.attempts import Attempt
 from eiderpin.core.flows import Answer, Flow
-from eiderpin.core.schedulings import Scheduling
 from eiderpin.interface import Outcome
 from eiderpin.parts.durable import Options
 
@@ -31,13 +31,13 @@
     def when_kept(self, flow: Flow, call: Callable[[bool], None]) -> None:
         call(False)
 
-    def lease(self, scheduling: Scheduling, send: Callable[[], None]) -> None:
+    def lease(self, attempt: Attempt, send: Callable[[], None]) -> None:
         raise AssertionError("no job is taken here")
 
-    def renew(self, scheduling: Scheduling) -> None:
+    def renew(self, attempt: Attempt) -> None:
         """None is leased here."""
 
-    def released(self, scheduling: Scheduling, outcome: Outcome) -> None:
+    def released(self, attempt: Attempt, outcome: Outcome) -> None:
         """None is leased here."""
 
     def end(self, flow: Flow, answer: Answer, told: bool, tell: Callable[[Answer], None]) -> None:
--- a/eiderpin/jobs/keeper.py
+++ b/eiderpin/jobs/keeper.py
@@ -9,12 +9,12 @@
 import msgspec
 
 from eiderpin import interface as api
+from eiderpin.core.attempts import Attempt
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.durability import OtherJob
 from eiderpin.core.flows import Answer, Flow, Verdict
 from eiderpin.core.invariants import must
-from eiderpin.core.schedulings import Scheduling
 from eiderpin.durable.files import Files
 from eiderpin.durable.frames import Record
 from eiderpin.durable.log import Log, NotWritable
@@ -50,7 +50,7 @@
         self.name = name
         self.recovered = False
         self.behind: set[int] = set()  # jobs of which the disk does not hold all, since it had failed
-        self._silences: dict[Scheduling, Deadline] = {}
+        self._silences: dict[Attempt, Deadline] = {}
         self._held: dict[int, int] = {}  # job to how many of its records are not known to be on disk
         self._unwritten: set[int] = set()  # jobs whose taking on the disk has refused
         self._waits: dict[int, list[Callable[[bool], None]]] = {}
@@ -199,64 +199,64 @@
         else:
             self._waits.setdefault(flow.job, []).append(call)
 
-    def lease(self, scheduling: Scheduling, send: Callable[[], None]) -> None:
-        flow, entry = scheduling.flow, scheduling.entry
+    def lease(self, attempt: Attempt, send: Callable[[], None]) -> None:
+        flow, entry = attempt.flow, attempt.entry
         link = "gearman" if entry.listed.shape == "gearman" else "http"
         address = f"{entry.address[0]}:{entry.address[1]}" if link == "http" else ""
 
         def told(ok: bool) -> None:
             held(ok)
-            if scheduling.ended:
+            if attempt.ended:
                 return  # called off while it waited; that has been written
             if ok:
-                self.watch(scheduling)
+                self.watch(attempt)
                 send()
             else:
-                self.core.ended(scheduling, api.Outcome.NOT_SENT)
+                self.core.ended(attempt, api.Outcome.NOT_SENT)
 
         try:
-            record = self.ledger.lease(flow.job, scheduling.number, entry.name, self.now(), link, address)
+            record = self.ledger.lease(flow.job, attempt.number, entry.name, self.now(), link, address)
         except MayNotRun as error:
             must(False, f"the ledger allows what the decisions send: {error}")
-            self.core.ended(scheduling, api.Outcome.NOT_SENT)
+            self.core.ended(attempt, api.Outcome.NOT_SENT)
             return
         if self.failed:
-            self.core.ended(scheduling, api.Outcome.NOT_SENT)
+            self.core.ended(attempt, api.Outcome.NOT_SENT)
             return
         held = self.hold(flow.job)
-        scheduling.leased = True
+        attempt.leased = True
         self.put(record, told)
 
-    def watch(self, scheduling: Scheduling) -> None:
+    def watch(self, attempt: Attempt) -> None:
         """Its worker must tell of it within a while, again and again; else the lease is over."""
         deadlines = self.core.deadlines
-        deadlines.drop(self._silences.pop(scheduling, None))
+        deadlines.drop(self._silences.pop(attempt, None))
         at = self.core.clock.now() + self.options.silence
-        self._silences[scheduling] = deadlines.set(at, lambda: self.silent(scheduling))
+        self._silences[attempt] = deadlines.set(at, lambda: self.silent(attempt))
 
-    def silent(self, scheduling: Scheduling) -> None:
+    def silent(self, attempt: Attempt) -> None:
         """What holds now follows from the class: the decisions are told of a reset."""
-        self._silences.pop(scheduling, None)
-        if not scheduling.ended:
+        self._silences.pop(attempt, None)
+        if not attempt.ended:
             self.core.counters.add("ledger.leases_expired")
             log.warning(
                 "a worker has fallen silent: its lease is over",
-                extra={"job": scheduling.flow.wire_id, "worker": scheduling.entry.name},
+                extra={"job": attempt.flow.wire_id, "worker": attempt.entry.name},
             )
-            scheduling.may_have_run = True
-            self.core.ended(scheduling, api.Outcome.RESET)
+            attempt.may_have_run = True
+            self.core.ended(attempt, api.Outcome.RESET)
 
-    def renew(self, scheduling: Scheduling) -> None:
-        if scheduling in self._silences:
-            self.watch(scheduling)
+    def renew(self, attempt: Attempt) -> None:
+        if attempt in self._silences:
+            self.watch(attempt)
 
-    def released(self, scheduling: Scheduling, outcome: api.Outcome) -> None:
-        flow = scheduling.flow
-        self.core.deadlines.drop(self._silences.pop(scheduling, None))
-        if not scheduling.leased or outcome is api.Outcome.DONE or flow.job not in self.ledger.jobs:
+    def released(self, attempt: Attempt, outcome: api.Outcome) -> None:
+        flow = attempt.flow
+        self.core.deadlines.drop(self._silences.pop(attempt, None))
+        if not attempt.leased or outcome is api.Outcome.DONE or flow.job not in self.ledger.jobs:
             return  # a result is the job's end, and says all
-        ran = scheduling.may_have_run and not outcome.never_ran
-        record = Released(self.now(), flow.job, scheduling.number, ran, outcome.value)
+        ran = attempt.may_have_run and not outcome.never_ran
+        record = Released(self.now(), flow.job, attempt.number, ran, outcome.value)
         self.write_or_remember(record, flow.job)
 
     def write_or_remember(self, record: AnyRecord, job: int) -> None:
--- a/eiderpin/jobs/recovery.py
+++ b/eiderpin/jobs/recovery.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from eiderpin import interface as api
+from eiderpin.core.attempts import Attempt, ServiceEntry, WorkerLink
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.flows import Flow, TableFull, Verdict
-from eiderpin.core.schedulings import Scheduling, ServiceEntry, WorkerLink
 from eiderpin.jobs.keeper import JobKeeper
 from eiderpin.jobs.ledger import Job, Lease, Step
 from eiderpin.jobs.records import Ended, Released
@@ -50,10 +50,10 @@
     )  # fmt: skip
     for lease in job.leases:
         entry = _entry_of(core, workers, lease)
-        while len(flow.schedulings) < lease.leased.attempt:  # made, and never leased
-            flow.schedulings.append(Scheduling(flow, len(flow.schedulings), entry, now, 0.0, ended=True))
-        flow.schedulings.append(
-            Scheduling(
+        while len(flow.attempts) < lease.leased.attempt:  # made, and never leased
+            flow.attempts.append(Attempt(flow, len(flow.attempts), entry, now, 0.0, ended=True))
+        flow.attempts.append(
+            Attempt(
                 flow, lease.leased.attempt, entry, now, flow.deadline - now, lease.out, lease.may_have_run,
                 not lease.out, True,
             )
@@ -63,16 +63,16 @@
     except ValueError:
         raise TableFull from None
     request = core.request_of(flow)
-    out = [s for s in flow.schedulings if not s.ended]
+    out = [s for s in flow.attempts if not s.ended]
     spec = core.classes[flow.cls]
     # Taken on, it is wanted until its deadline: the time that we were down must not make it hopeless.
     standing = api.Standing(
-        flow.deadline - now, flow.hint or spec.aim, len(flow.schedulings),
+        flow.deadline - now, flow.hint or spec.aim, len(flow.attempts),
         [(s.number, 0.0, -1.0) for s in out], [s.entry.name for s in out], [],
     )  # fmt: skip
     core.tell(api.Adopted(request, standing))
-    for scheduling in out:
-        keeper.watch(scheduling)
+    for attempt in out:
+        keeper.watch(attempt)
 
 
 def _entry_of(core: Dispatcher, workers: WorkerLink, lease: Lease) -> ServiceEntry:
--- a/eiderpin/net/gearman_front.py
+++ b/eiderpin/net/gearman_front.py
@@ -18,11 +18,11 @@
 
 from eiderpin import VERSION
 from eiderpin import interface as api
+from eiderpin.core.attempts import Attempt, ServiceEntry
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.durability import OtherJob
 from eiderpin.core.flows import Answer, Flow, SlotTable, Verdict
-from eiderpin.core.schedulings import Scheduling, ServiceEntry
 from eiderpin.net.gearman import Kind, Line, Packet, Reader, pack
 from eiderpin.net.loop import Connection, Listener, Loop
 
@@ -100,9 +100,9 @@
         self.abilities: dict[str, float] = {}  # function to its time-out in ms, 0: none
         self.entry: ServiceEntry | None = None
         self.asleep = False
-        self.placed: deque[Scheduling] = deque()
-        self.running: dict[bytes, Scheduling] = {}
-        self.waits: dict[Scheduling, Deadline] = {}  # until a grab, then a function's own time-out
+        self.placed: deque[Attempt] = deque()
+        self.running: dict[bytes, Attempt] = {}
+        self.waits: dict[Attempt, Deadline] = {}  # until a grab, then a function's own time-out
         conn.on_data, conn.on_end = self.data, self.end
 
     def put(self, kind: Kind, *args: bytes) -> None:
@@ -135,13 +135,13 @@
             if submission.flow is not None:
                 self.core.detach(submission.flow, submission)
         self.open.clear()
-        for scheduling in list(self.placed):
-            self.drop_wait(scheduling)
-            self.core.ended(scheduling, api.Outcome.NOT_CONNECTED)
+        for attempt in list(self.placed):
+            self.drop_wait(attempt)
+            self.core.ended(attempt, api.Outcome.NOT_CONNECTED)
         self.placed.clear()
-        for scheduling in list(self.running.values()):
-            self.drop_wait(scheduling)
-            self.core.ended(scheduling, api.Outcome.RESET)
+        for attempt in list(self.running.values()):
+            self.drop_wait(attempt)
+            self.core.ended(attempt, api.Outcome.RESET)
         self.running.clear()
         if self.entry is not None:
             self.tell(api.WorkerState.GONE)
@@ -263,10 +263,10 @@
         """What was placed but not grabbed goes back at once: a drain's grace need not be used up."""
         for function in functions:
             self.abilities.pop(function, None)
-        for scheduling in [s for s in self.placed if s.flow.cls not in self.abilities]:
-            self.placed.remove(scheduling)
-            self.drop_wait(scheduling)
-            self.core.ended(scheduling, api.Outcome.NOT_SENT)
+        for attempt in [s for s in self.placed if s.flow.cls not in self.abilities]:
+            self.placed.remove(attempt)
+            self.drop_wait(attempt)
+            self.core.ended(attempt, api.Outcome.NOT_SENT)
         if self.entry is not None:
             serves = any(f in self.core.classes for f in self.abilities)
             self.tell(api.WorkerState.IN_SERVICE if serves else api.WorkerState.DRAINING)
@@ -283,13 +283,13 @@
         self.core.list_told(self.front, api.ListKind.CHANGES, [(listed, self)])
         self.entry = self.core.entries[name]
 
-    def place(self, scheduling: Scheduling) -> None:
+    def place(self, attempt: Attempt) -> None:
         if len(self.placed) + len(self.running) >= MOST_PLACED:
-            self.core.ended(scheduling, api.Outcome.REJECTED)
+            self.core.ended(attempt, api.Outcome.REJECTED)
             return
-        self.placed.append(scheduling)
+        self.placed.append(attempt)
         at = self.core.clock.now() + GRAB_WAIT
-        self.waits[scheduling] = self.core.deadlines.set(at, lambda: self.not_grabbed(scheduling))
+        self.waits[attempt] = self.core.deadlines.set(at, lambda: self.not_grabbed(attempt))
         if self.asleep:
             self.wake()
 
@@ -297,75 +297,75 @@
         self.asleep = False
         self.put(Kind.NOOP)
 
-    def not_grabbed(self, scheduling: Scheduling) -> None:
-        if scheduling in self.placed:
-            self.placed.remove(scheduling)
-            self.waits.pop(scheduling, None)
-            self.core.ended(scheduling, api.Outcome.REJECTED)
+    def not_grabbed(self, attempt: Attempt) -> None:
+        if attempt in self.placed:
+            self.placed.remove(attempt)
+            self.waits.pop(attempt, None)
+            self.core.ended(attempt, api.Outcome.REJECTED)
 
     def grab(self, with_unique: bool) -> None:
         """Hand out what the decisions placed here, and nothing else."""
         self.asleep = False
         while self.placed:
-            scheduling = self.placed.popleft()
-            self.drop_wait(scheduling)
-            if not self.core.may_begin(scheduling):
+            attempt = self.placed.popleft()
+            self.drop_wait(attempt)
+            if not self.core.may_begin(attempt):
                 # The first byte counts for a drain: its grace has passed while the job waited here.
-                self.core.ended(scheduling, api.Outcome.NOT_SENT)
+                self.core.ended(attempt, api.Outcome.NOT_SENT)
                 continue
-            flow = scheduling.flow
-            handle = b"%s.%d" % (self.front.handle_of(flow), scheduling.number)
-            self.running[handle] = scheduling
+            flow = attempt.flow
+            handle = b"%s.%d" % (self.front.handle_of(flow), attempt.number)
+            self.running[handle] = attempt
             if with_unique:
                 unique = flow.unique.encode("latin-1", "replace")
                 self.put(Kind.JOB_ASSIGN_UNIQ, handle, flow.cls.encode(), unique, flow.body)
             else:
                 self.put(Kind.JOB_ASSIGN, handle, flow.cls.encode(), flow.body)
-            if not scheduling.ended:  # else the connection broke under the write
-                self.core.written(scheduling)
-                self.core.progress(scheduling, True)
-                self.limit_run(handle, scheduling)
+            if not attempt.ended:  # else the connection broke under the write
+                self.core.written(attempt)
+                self.core.progress(attempt, True)
+                self.limit_run(handle, attempt)
             return
         self.put(Kind.NO_JOB)
 
-    def limit_run(self, handle: bytes, scheduling: Scheduling) -> None:
+    def limit_run(self, handle: bytes, attempt: Attempt) -> None:
         """A worker may give a time-out with its function (CAN_DO_TIMEOUT)."""
-        limit = self.abilities.get(scheduling.flow.cls, 0.0)
+        limit = self.abilities.get(attempt.flow.cls, 0.0)
         if limit:
             at = self.core.clock.now() + limit
-            self.waits[scheduling] = self.core.deadlines.set(at, lambda: self.overran(handle))
+            self.waits[attempt] = self.core.deadlines.set(at, lambda: self.overran(handle))
 
     def overran(self, handle: bytes) -> None:
-        scheduling = self.running.pop(handle, None)
-        if scheduling is not None:
-            self.waits.pop(scheduling, None)
-            self.core.ended(scheduling, api.Outcome.TIMED_OUT)
+        attempt = self.running.pop(handle, None)
+        if attempt is not None:
+            self.waits.pop(attempt, None)
+            self.core.ended(attempt, api.Outcome.TIMED_OUT)
 
     def work_ended(self, kind: Kind, args: tuple[bytes, ...]) -> None:
-        scheduling = self.running.pop(args[0], None)
-        if scheduling is None:
+        attempt = self.running.pop(args[0], None)
+        if attempt is None:
             self.core.counters.add("in.gearman_stray")
             return
-        self.drop_wait(scheduling)
+        self.drop_wait(attempt)
         if kind is not Kind.WORK_COMPLETE:
-            self.core.ended(scheduling, api.Outcome.ERROR)
-        elif scheduling.ended:
-            self.core.late_result(scheduling.flow, args[1])
+            self.core.ended(attempt, api.Outcome.ERROR)
+        elif attempt.ended:
+            self.core.late_result(attempt.flow, args[1])
         else:
-            self.core.ended(scheduling, api.Outcome.DONE, args[1])
+            self.core.ended(attempt, api.Outcome.DONE, args[1])
 
     def work_goes_on(self, kind: Kind, args: tuple[bytes, ...]) -> None:
-        scheduling = self.running.get(args[0])
-        if scheduling is None or scheduling.ended:
+        attempt = self.running.get(args[0])
+        if attempt is None or attempt.ended:
             return
         if kind is Kind.WORK_STATUS:
             if args[1].isdigit() and args[2].isdigit() and int(args[2]) > 0:
-                self.core.progress(scheduling, False, min(int(args[1]) / int(args[2]), 1.0))
+                self.core.progress(attempt, False, min(int(args[1]) / int(args[2]), 1.0))
         else:
-            self.core.data_part(scheduling, args[1], kind is Kind.WORK_WARNING)
+            self.core.data_part(attempt, args[1], kind is Kind.WORK_WARNING)
 
-    def drop_wait(self, scheduling: Scheduling) -> None:
-        self.core.deadlines.drop(self.waits.pop(scheduling, None))
+    def drop_wait(self, attempt: Attempt) -> None:
+        self.core.deadlines.drop(self.waits.pop(attempt, None))
 
 
 class GearmanFront:
@@ -417,19 +417,19 @@
 
     # -- what the core asks of a worker link
 
-    def send(self, scheduling: Scheduling) -> None:
-        connection = scheduling.entry.address
+    def send(self, attempt: Attempt) -> None:
+        connection = attempt.entry.address
         if isinstance(connection, GearmanConnection) and not connection.conn.closed:
-            connection.place(scheduling)
+            connection.place(attempt)
         else:
-            self.core.ended(scheduling, api.Outcome.NOT_CONNECTED)
+            self.core.ended(attempt, api.Outcome.NOT_CONNECTED)
 
-    def cancel(self, scheduling: Scheduling) -> None:
+    def cancel(self, attempt: Attempt) -> None:
         """What was not grabbed is taken back; a worker that runs a job cannot be told to stop."""
-        connection = scheduling.entry.address
-        if isinstance(connection, GearmanConnection) and scheduling in connection.placed:
-            connection.placed.remove(scheduling)
-            connection.drop_wait(scheduling)
+        connection = attempt.entry.address
+        if isinstance(connection, GearmanConnection) and attempt in connection.placed:
+            connection.placed.remove(attempt)
+            connection.drop_wait(attempt)
 
     def probe(self, entry: ServiceEntry) -> None:
         connection = entry.address
@@ -439,7 +439,7 @@
     def entry_changed(self, entry: ServiceEntry) -> None:
         """Nothing to do: the connection itself is the entry."""
 
-    def may_move(self, scheduling: Scheduling) -> bool:
+    def may_move(self, attempt: Attempt) -> bool:
         """Its end comes on this worker's connection, and nowhere else."""
         return False
 
@@ -464,7 +464,7 @@
         """Known, running, and the share done as a fraction."""
         if flow is None or flow.ended:
             return b"0", b"0", b"0", b"0"
-        running = any(s.accepted and not s.ended for s in flow.schedulings)
+        running = any(s.accepted and not s.ended for s in flow.attempts)
         return b"1", b"%d" % running, b"%d" % round(flow.share * 100), b"100"
 
     def admin(self, line: str) -> bytes:
@@ -483,7 +483,7 @@
         flows = [f for f in self.core.flows.all() if not f.ended]
         for cls in self.core.classes:
             of_class = [f for f in flows if f.cls == cls]
-            running = sum(any(s.accepted and not s.ended for s in f.schedulings) for f in of_class)
+            running = sum(any(s.accepted and not s.ended for s in f.attempts) for f in of_class)
             able = [e for e in self.core.entries.values() if e.in_service]
             workers = sum(e.listed.classes is None or cls in e.listed.classes for e in able)
             lines.append(f"{cls}\t{len(of_class)}\t{running}\t{workers}\n")
--- a/eiderpin/net/static_list.py
+++ b/eiderpin/net/static_list.py
@@ -5,8 +5,8 @@
 from typing import Any
 
 from eiderpin import interface as api
+from eiderpin.core.attempts import Attempt, ServiceEntry
 from eiderpin.core.dispatcher import Dispatcher
-from eiderpin.core.schedulings import Scheduling, ServiceEntry
 from eiderpin.net.discovery import address
 from eiderpin.net.workers import HttpWorkers
 
@@ -63,11 +63,11 @@
         """These are all. One that is no longer listed is gone: it gets nothing new, as with discovery."""
         self.core.list_told(self, api.ListKind.COMPLETE, rows)
 
-    def send(self, scheduling: Scheduling) -> None:
-        self.workers.send(scheduling)
+    def send(self, attempt: Attempt) -> None:
+        self.workers.send(attempt)
 
-    def cancel(self, scheduling: Scheduling) -> None:
-        self.workers.cancel(scheduling)
+    def cancel(self, attempt: Attempt) -> None:
+        self.workers.cancel(attempt)
 
     def probe(self, entry: ServiceEntry) -> None:
         self.workers.probe(entry)
@@ -75,5 +75,5 @@
     def entry_changed(self, entry: ServiceEntry) -> None:
         self.workers.entry_changed(entry)
 
-    def may_move(self, scheduling: Scheduling) -> bool:
-        return self.workers.may_move(scheduling)
+    def may_move(self, attempt: Attempt) -> bool:
+        return self.workers.may_move(attempt)
--- a/eiderpin/net/workers.py
+++ b/eiderpin/net/workers.py
@@ -11,9 +11,9 @@
 import orjson
 
 from eiderpin import interface as api
+from eiderpin.core.attempts import Attempt, ServiceEntry
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher
-from eiderpin.core.schedulings import Scheduling, ServiceEntry
 from eiderpin.net import http, reports
 from eiderpin.net.loop import Connection, Loop
 
@@ -40,13 +40,13 @@
 class WorkerConnection:
     """One connection to a worker; it carries one exchange at a time."""
 
-    __slots__ = ("workers", "entry", "address", "conn", "reader", "scheduling", "request", "deadline",
+    __slots__ = ("workers", "entry", "address", "conn", "reader", "attempt", "request", "deadline",
                  "probe_at", "life", "rested_at", "stood", "begun_at")  # fmt: skip
 
     def __init__(self, workers: HttpWorkers, entry: ServiceEntry, conn: Connection) -> None:
         self.workers, self.entry, self.address, self.conn = workers, entry, entry.address, conn
         self.reader = http.ResponseReader()
-        self.scheduling: Scheduling | None = None
+        self.attempt: Attempt | None = None
         self.request = b""
         self.probe_at: float | None = None
         self.life = Life.CONNECTING
@@ -55,13 +55,13 @@
         self.stood = 0.0  # ms for which it stood idle before this exchange
         conn.on_open, conn.on_data, conn.on_end = self.opened, self.data, self.ended
 
-    def begin(self, request: bytes, scheduling: Scheduling | None) -> None:
-        """Take one exchange on, a call's request or a scheduling; it is written once the connection is up."""
+    def begin(self, request: bytes, attempt: Attempt | None) -> None:
+        """Take one exchange on, a call's request or an attempt; it is written once the connection is up."""
         self.begun_at = self.workers.loop.clock.now()
         self.stood = self.begun_at - self.rested_at if self.rested_at else 0.0
-        self.request, self.scheduling = request, scheduling
-        if scheduling is not None:
-            scheduling.handle = self
+        self.request, self.attempt = request, attempt
+        if attempt is not None:
+            attempt.handle = self
         if self.conn.connecting:
             self.limit(self.workers.core.settings.connect_timeout)
         else:
@@ -70,7 +70,7 @@
     def opened(self) -> None:
         self.drop_deadline()
         self.life = Life.SENDING
-        if self.scheduling is None:
+        if self.attempt is None:
             self.limit(CALL_LIMIT)
         self.put()
 
@@ -81,13 +81,13 @@
 
     def put(self) -> None:
         """Write the request, unless it may not begin any more: the connection may have come up late."""
-        scheduling, core = self.scheduling, self.workers.core
-        if scheduling is not None and not core.may_begin(scheduling):
-            core.ended(scheduling, api.Outcome.NOT_SENT)
+        attempt, core = self.attempt, self.workers.core
+        if attempt is not None and not core.may_begin(attempt):
+            core.ended(attempt, api.Outcome.NOT_SENT)
             self.free(True)
             return
-        if scheduling is not None:
-            self.request = self.workers.job(scheduling)
+        if attempt is not None:
+            self.request = self.workers.job(attempt)
         self.conn.on_flushed = self.flushed
         self.conn.write(self.request)
 
@@ -95,8 +95,8 @@
         if self.life is not Life.SENDING:
             return
         self.life = Life.AWAITING
-        if self.scheduling is not None:
-            self.workers.core.written(self.scheduling)
+        if self.attempt is not None:
+            self.workers.core.written(self.attempt)
 
     def data(self, data: bytes) -> None:
         if self.life is Life.RESTING:
@@ -118,7 +118,7 @@
         self.close()
 
     def answered(self, message: http.Message) -> None:
-        core, scheduling = self.workers.core, self.scheduling
+        core, attempt = self.workers.core, self.attempt
         if self.life is Life.CLOSED:
             return
         if self.life is Life.RESTING:
@@ -129,14 +129,14 @@
             names = core.settings.report_names
             report = reports.of_body(message.body, names) if ok and message.body else None
             core.probed(self.entry, ok, core.clock.now() - self.probe_at, report)
-        elif scheduling is not None:
+        elif attempt is not None:
             if message.status == 202:
-                scheduling.accepted = True
+                attempt.accepted = True
             elif message.status in (503, 504) and message.headers.get("srv-declined") == "1":
-                core.ended(scheduling, api.Outcome.REJECTED, report=self.told(message))
+                core.ended(attempt, api.Outcome.REJECTED, report=self.told(message))
             else:
                 core.counters.add(f"out.status.{message.status}")
-                core.ended(scheduling, api.Outcome.ERROR, report=self.told(message))
+                core.ended(attempt, api.Outcome.ERROR, report=self.told(message))
         self.free(message.keep_alive and self.life is Life.AWAITING and self.reader.idle)
 
     def told(self, message: http.Message) -> api.Report | None:
@@ -147,7 +147,7 @@
     def free(self, keep: bool) -> None:
         """The exchange is over."""
         self.drop_deadline()
-        self.scheduling, self.probe_at = None, None
+        self.attempt, self.probe_at = None, None
         if keep and not self.conn.closed:
             self.life = Life.RESTING
             self.workers.rest(self)
@@ -167,14 +167,14 @@
         again here: whether it may be is for the decisions to say, by what has gone out."""
         if self.life is Life.CLOSED:
             return
-        scheduling, core = self.scheduling, self.workers.core
-        if scheduling is not None:
+        attempt, core = self.attempt, self.workers.core
+        if attempt is not None:
             stale = self.stood > 0 and core.clock.now() < self.begun_at + STALE_WITHIN
             if stale:
                 self.workers.went_stale(self.stood)
             never = self.life in (Life.CONNECTING, Life.SENDING)
             outcome = api.Outcome.NOT_CONNECTED if never else api.Outcome.RESET
-            core.ended(scheduling, outcome, stale=stale)
+            core.ended(attempt, outcome, stale=stale)
         elif self.probe_at is not None:
             core.probed(self.entry, False, core.clock.now() - self.probe_at)
         self.close()
@@ -185,7 +185,7 @@
             return
         self.life = Life.CLOSED
         self.drop_deadline()
-        self.scheduling, self.probe_at = None, None
+        self.attempt, self.probe_at = None, None
         self.conn.close()
         self.workers.lost(self)
 
@@ -214,20 +214,20 @@
 
     # -- what the core asks
 
-    def send(self, scheduling: Scheduling) -> None:
+    def send(self, attempt: Attempt) -> None:
         # What lies between may have forgotten a connection that stood idle, and the reset that a write to it
         # brings would be the end of a job that must not run twice. A new connection costs far less.
-        once = self.core.classes[scheduling.flow.cls].repeat is not api.Repeat.FREE
-        connection = self._connection(scheduling.entry, SURE_IDLE if once else self.trust())
+        once = self.core.classes[attempt.flow.cls].repeat is not api.Repeat.FREE
+        connection = self._connection(attempt.entry, SURE_IDLE if once else self.trust())
         if connection is None:
-            self.core.ended(scheduling, api.Outcome.NOT_SENT)  # for want of a descriptor of our own
+            self.core.ended(attempt, api.Outcome.NOT_SENT)  # for want of a descriptor of our own
         else:
-            connection.begin(b"", scheduling)
+            connection.begin(b"", attempt)
 
-    def job(self, scheduling: Scheduling) -> bytes:
+    def job(self, attempt: Attempt) -> bytes:
         """The request, as it is written now."""
-        flow = scheduling.flow
-        left = max(1, int(scheduling.made_at + scheduling.timeout - self.core.clock.now()))
+        flow = attempt.flow
+        left = max(1, int(attempt.made_at + attempt.timeout - self.core.clock.now()))
         headers: tuple[str, ...] = (
             f"Host: {self.host}", f"Req-Id: {flow.wire_id}", f"Req-Deadline-Ms: {left}",
         )  # fmt: skip
@@ -235,16 +235,16 @@
             headers += (f"Idempotency-Key: {flow.idempotency_key}",)
         return http.request("POST", flow.target, headers, flow.body)
 
-    def cancel(self, scheduling: Scheduling) -> None:
-        connection = scheduling.handle
-        if isinstance(connection, WorkerConnection) and connection.scheduling is scheduling:
+    def cancel(self, attempt: Attempt) -> None:
+        connection = attempt.handle
+        if isinstance(connection, WorkerConnection) and connection.attempt is attempt:
             # Before the 202 a closed connection is the cancel; what has been written cannot be unsaid.
             connection.close()
             return
-        if connection is None and not scheduling.accepted:
+        if connection is None and not attempt.accepted:
             return  # nothing of it has gone out
-        target = b"/jobs/" + scheduling.flow.wire_id.encode()
-        self._call(scheduling.entry, http.request("DELETE", target, (f"Host: {self.host}",)), None)
+        target = b"/jobs/" + attempt.flow.wire_id.encode()
+        self._call(attempt.entry, http.request("DELETE", target, (f"Host: {self.host}",)), None)
 
     def probe(self, entry: ServiceEntry) -> None:
         request = http.request("GET", self.probes_at, (f"Host: {self.host}",))
@@ -258,10 +258,10 @@
             if gone or connection.address != entry.address:
                 connection.close()
 
-    def may_move(self, scheduling: Scheduling) -> bool:
-        connection = scheduling.handle
-        tied = isinstance(connection, WorkerConnection) and connection.scheduling is scheduling
-        return scheduling.accepted and not tied
+    def may_move(self, attempt: Attempt) -> bool:
+        connection = attempt.handle
+        tied = isinstance(connection, WorkerConnection) and connection.attempt is attempt
+        return attempt.accepted and not tied
 
     # -- connections
 
@@ -374,30 +374,30 @@
         if flow is None:
             keeper, sender = self.core.keeper, str(said.get("from"))
             return keeper is not None and keeper.late(said["id"], sender, state, _result(said))
-        mine = [s for s in flow.schedulings if s.entry.name == said.get("from")]
-        scheduling = next((s for s in reversed(mine) if not s.ended), None)
-        if scheduling is None:
+        mine = [s for s in flow.attempts if s.entry.name == said.get("from")]
+        attempt = next((s for s in reversed(mine) if not s.ended), None)
+        if attempt is None:
             if state == "done" and mine:
                 self.core.late_result(flow, _result(said))
         elif state == "started":
-            self.core.progress(scheduling, True)
+            self.core.progress(attempt, True)
         elif state == "running":
             share = said.get("share")
             if isinstance(share, int | float) and 0 <= share <= 1:
-                self.core.progress(scheduling, False, float(share))
+                self.core.progress(attempt, False, float(share))
         elif state == "done":
-            self.ended(scheduling, api.Outcome.DONE, said)
+            self.ended(attempt, api.Outcome.DONE, said)
         elif state in STATES:
-            self.ended(scheduling, STATES[state], said)
+            self.ended(attempt, STATES[state], said)
         return True
 
-    def ended(self, scheduling: Scheduling, outcome: api.Outcome, said: dict[str, Any]) -> None:
+    def ended(self, attempt: Attempt, outcome: api.Outcome, said: dict[str, Any]) -> None:
         """A call-back tells of an attempt's end, perhaps before its connection has brought the 202."""
-        connection = scheduling.handle
-        if isinstance(connection, WorkerConnection) and connection.scheduling is scheduling:
+        connection = attempt.handle
+        if isinstance(connection, WorkerConnection) and connection.attempt is attempt:
             connection.outlived()
         result = _result(said) if outcome is api.Outcome.DONE else b""
-        self.core.ended(scheduling, outcome, result, report=self.load_of(said))
+        self.core.ended(attempt, outcome, result, report=self.load_of(said))
 
 
 def _nobody(said: dict[str, Any], reply: Callable[[int], None]) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -9,10 +9,10 @@
 from eiderpin import interface as api
 from eiderpin.core import dispatcher as core
 from eiderpin.core import invariants
+from eiderpin.core.attempts import Attempt, ServiceEntry
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Clock, Deadlines
 from eiderpin.core.flows import Answer, Flow, SlotTable, TableFull, Verdict
-from eiderpin.core.schedulings import Scheduling, ServiceEntry
 from eiderpin.decide import SLOTS_GUESS
 from eiderpin.decide import Dispatcher as Module
 from eiderpin.net.loop import Connection, Loop
@@ -30,14 +30,14 @@
     """Notes what it is asked and does nothing of itself."""
 
     def __init__(self) -> None:
-        self.sent: list[Scheduling] = []
-        self.cancelled: list[Scheduling] = []
+        self.sent: list[Attempt] = []
+        self.cancelled: list[Attempt] = []
 
-    def send(self, scheduling: Scheduling) -> None:
-        self.sent.append(scheduling)
+    def send(self, attempt: Attempt) -> None:
+        self.sent.append(attempt)
 
-    def cancel(self, scheduling: Scheduling) -> None:
-        self.cancelled.append(scheduling)
+    def cancel(self, attempt: Attempt) -> None:
+        self.cancelled.append(attempt)
 
     def probe(self, entry: ServiceEntry) -> None: ...
 
@@ -150,7 +150,7 @@
         self.core.ended(self.link.sent[0], api.Outcome.DONE, b"r")
         self.assertEqual((len(first.got), len(joined.got)), (1, 1))
 
-    def test_a_result_of_a_scheduling_that_was_counted_out_still_serves(self) -> None:
+    def test_a_result_of_a_attempt_that_was_counted_out_still_serves(self) -> None:
         flow, client = self.submit("look", "a")
         self.pass_time(100)
         self.core.ended(self.link.sent[0], api.Outcome.RESET)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -45,7 +45,7 @@
             self.assertEqual((seen_path, headers["req-id"], body), (path, "a1", b"\0body"))
             self.assertTrue(0 < int(headers["req-deadline-ms"]) <= 5000)
             counters = program.counters()
-            self.assertEqual((counters["answer.time-lookup.succeeded"], counters["out.schedulings"]), (1, 1))
+            self.assertEqual((counters["answer.time-lookup.succeeded"], counters["out.attempts"]), (1, 1))
 
     def test_bad_requests_get_their_status(self) -> None:
         head = b"POST /time-lookup HTTP/1.1\r\nHost: x\r\n"
