--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -12,13 +12,22 @@
 from eiderpin import decide
 from eiderpin import interface as api
 from eiderpin.core import learned
-from eiderpin.core.attempts import Attempt, ServiceEntry, WorkerLink
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Clock, Deadline, Deadlines
 from eiderpin.core.durability import Keeper, OtherJob
-from eiderpin.core.flows import FAILED, Answer, EdgeSide, Flow, SlotTable, TableFull, Verdict
 from eiderpin.core.invariants import must
 from eiderpin.core.learned import Learned
+from eiderpin.core.requests import (
+    FAILED,
+    Answer,
+    Attempt,
+    EdgeSide,
+    Request,
+    ServiceEntry,
+    Verdict,
+    WorkerLink,
+)
+from eiderpin.core.slot_table import SlotTable, TableFull
 
 log = logging.getLogger("eiderpin")
 
@@ -52,7 +61,7 @@
 
 
 class Dispatcher:
-    """Owns all flows and service entries; hands each batch of events to the decisions."""
+    """Owns all requests and service entries; hands each batch of events to the decisions."""
 
     def __init__(
         self, settings: api.Settings, seed: int, clock: Clock, deadlines: Deadlines, counters: Counters
@@ -63,11 +72,11 @@
         self.counters = counters
         self.module = decide.Dispatcher(settings, seed)
         self.classes = {c.name: c for c in settings.classes}
-        self.flows: SlotTable[Flow] = SlotTable()
+        self.requests: SlotTable[Request] = SlotTable()
         self.entries: dict[str, ServiceEntry] = {}
         self.listed = False  # some list has come
-        self._by_unique: dict[tuple[str, str], Flow] = {}
-        self._by_wire: dict[str, Flow] = {}
+        self._by_unique: dict[tuple[str, str], Request] = {}
+        self._by_wire: dict[str, Request] = {}
         self.keeps_results = True  # False where no front's clients ask again: then ids are kept, no results
         self._kept: OrderedDict[tuple[str, str], tuple[float, Answer, bool]] = OrderedDict()
         self._kept_bytes = 0
@@ -82,7 +91,7 @@
 
     # -- from the fronts
 
-    def submit(self, flow: Flow, waiter: EdgeSide | None) -> Flow:
+    def submit(self, request: Request, waiter: EdgeSide | None) -> Request:
         """Take a job in. One that is under way or whose outcome is kept is joined, never run again.
 
         Raises `IdTaken` where both jobs bear ids that are given once. Joining would hand a client the answer
@@ -90,79 +99,89 @@
         durable job has the name and asks for something else.
         """
         now = self.clock.now()
-        name = (flow.cls, flow.unique)
-        self.counters.add("in.flows")
-        keeper = self.keeper if self.is_durable(flow.cls) else None
-        if flow.unique:
-            open_flow = self._by_unique.get(name)
+        name = (request.cls, request.unique)
+        self.counters.add("in.requests")
+        keeper = self.keeper if self.is_durable(request.cls) else None
+        if request.unique:
+            open_request = self._by_unique.get(name)
             kept = self._kept.get(name)
             if kept is not None and kept[0] <= now:
                 kept = None
-            taken = open_flow.once if open_flow is not None else kept is not None and kept[2]
-            elsewhere = open_flow is None and flow.unique in self._by_wire or flow.unique in self.ids_beside
-            if flow.once and (taken or elsewhere):
+            taken = open_request.once if open_request is not None else kept is not None and kept[2]
+            elsewhere = (
+                open_request is None and request.unique in self._by_wire or request.unique in self.ids_beside
+            )
+            if request.once and (taken or elsewhere):
                 raise IdTaken
-            if keeper is not None and open_flow is None:
-                answer = keeper.kept(flow)
+            if keeper is not None and open_request is None:
+                answer = keeper.kept(request)
                 kept = (now, answer, False) if answer is not None else None
-            if open_flow is not None:
-                same = open_flow.body == flow.body and open_flow.target == flow.target
+            if open_request is not None:
+                same = open_request.body == request.body and open_request.target == request.target
                 if keeper is not None and not same:
                     raise OtherJob
                 self.counters.add("in.joined")
                 if waiter is not None:
-                    self._join(open_flow, flow, waiter)
-                open_flow.background = open_flow.background or flow.background
-                return open_flow
+                    self._join(open_request, request, waiter)
+                open_request.background = open_request.background or request.background
+                return open_request
             if kept is not None:
                 self.counters.add("in.kept")
-                flow.ended = True
+                request.ended = True
                 if waiter is not None and keeper is not None:
-                    keeper.tell_kept(flow, kept[1], lambda answer: waiter.answer(flow, answer))
+                    keeper.tell_kept(request, kept[1], lambda answer: waiter.answer(request, answer))
                 elif waiter is not None:
-                    waiter.answer(flow, kept[1])
-                return flow
+                    waiter.answer(request, kept[1])
+                return request
         if waiter is not None:
-            flow.waiters.append(waiter)
+            request.waiters.append(waiter)
         try:
-            flow.id = self.flows.add(flow)
+            request.id = self.requests.add(request)
         except TableFull:
-            self._finish(flow, self.turned_down(math.inf))
-            return flow
+            self._finish(request, self.turned_down(math.inf))
+            return request
         self.outstanding += 1
-        flow.backstop = self.deadlines.set(flow.deadline, lambda: self._overdue(flow))
-        flow.wire_id = self._wire_name(flow.unique)
-        self._by_wire[flow.wire_id] = flow
-        if keeper is not None and not keeper.take(flow):
-            self._not_taken(flow)
-            return flow
-        if flow.unique:
-            self._by_unique[name] = flow
-        self._events.append(self.request_of(flow))
-        return flow
+        request.backstop = self.deadlines.set(request.deadline, lambda: self._overdue(request))
+        request.wire_id = self._wire_name(request.unique)
+        self._by_wire[request.wire_id] = request
+        if keeper is not None and not keeper.take(request):
+            self._not_taken(request)
+            return request
+        if request.unique:
+            self._by_unique[name] = request
+        self._events.append(self.decision_request(request))
+        return request
 
     def is_durable(self, cls: str) -> bool:
         """Whether jobs of this class outlive the process."""
         return self.keeper is not None and self.keeper.covers_class(cls)
 
-    def request_of(self, flow: Flow) -> api.Request:
-        """The flow as the decisions are told of it."""
+    def decision_request(self, request: Request) -> api.Request:
+        """The request as the decisions are told of it."""
         return api.Request(
-            flow.id, flow.cls, flow.deadline - ANSWER_MARGIN - self.clock.now(), flow.slots, flow.memory,
-            flow.tenant, flow.key, flow.hint, flow.client_retry, flow.priority,
-        )  # fmt: skip
-
-    def _join(self, flow: Flow, asked: Flow, waiter: EdgeSide) -> None:
-        """One who joins may give up before the flow's own deadline, and is owed an answer by then."""
+            request.id,
+            request.cls,
+            request.deadline - ANSWER_MARGIN - self.clock.now(),
+            request.slots,
+            request.memory,
+            request.tenant,
+            request.key,
+            request.hint,
+            request.client_retry,
+            request.priority,
+        )
+
+    def _join(self, request: Request, asked: Request, waiter: EdgeSide) -> None:
+        """One who joins may give up before the request's own deadline, and is owed an answer by then."""
 
         def overdue() -> None:
-            if waiter in flow.waiters:
-                flow.waiters.remove(waiter)
+            if waiter in request.waiters:
+                request.waiters.remove(waiter)
                 self.counters.add("answer.joined_overdue")
-                waiter.answer(flow, FAILED)
+                waiter.answer(request, FAILED)
 
-        flow.waiters.append(waiter)
-        if asked.deadline < flow.deadline:
+        request.waiters.append(waiter)
+        if asked.deadline < request.deadline:
             self.deadlines.set(asked.deadline - ANSWER_MARGIN, overdue)
 
     def _wire_name(self, unique: str) -> str:
@@ -173,35 +192,35 @@
         self._wire_number += 1
         return f"e{self._wire_number:x}-{int(self.clock.now()):x}"
 
-    def leave(self, flow: Flow, waiter: EdgeSide) -> None:
-        """One who waited has gone. A flow that nobody waits for is called off."""
-        if waiter in flow.waiters:
-            flow.waiters.remove(waiter)
-        if flow.ended or flow.waiters or flow.background or flow.abandoned:
+    def leave(self, request: Request, waiter: EdgeSide) -> None:
+        """One who waited has gone. A request that nobody waits for is called off."""
+        if waiter in request.waiters:
+            request.waiters.remove(waiter)
+        if request.ended or request.waiters or request.background or request.abandoned:
             return
         self.counters.add("in.clients_gone")
-        self._events.append(api.RequestGone(flow.id))
-        self._finish(flow, None)
+        self._events.append(api.RequestGone(request.id))
+        self._finish(request, None)
 
-    def turn_down(self, flow: Flow) -> None:
+    def turn_down(self, request: Request) -> None:
         """It could not be taken on after all, and nothing of it has been sent."""
-        if not flow.ended:
-            self._events.append(api.RequestGone(flow.id))
-            self._not_taken(flow)
+        if not request.ended:
+            self._events.append(api.RequestGone(request.id))
+            self._not_taken(request)
 
-    def _not_taken(self, flow: Flow) -> None:
+    def _not_taken(self, request: Request) -> None:
         self.counters.add("in.not_durable")
-        self._finish(flow, self.turned_down())
+        self._finish(request, self.turned_down())
 
-    def detach(self, flow: Flow, waiter: EdgeSide) -> None:
+    def detach(self, request: Request, waiter: EdgeSide) -> None:
         """As `leave`, but what has begun of a job that must not run twice is waited for, so that a
         resubmission finds it. No further attempt begins meanwhile. A durable job goes on, as promised."""
-        repeat = self.classes[flow.cls].repeat
-        begun = flow.may_have_run() and repeat is not api.Repeat.FREE
-        if flow.unique and not flow.ended:
-            flow.background = flow.background or bool(flow.job)
-            flow.abandoned = begun and not flow.job
-        self.leave(flow, waiter)
+        repeat = self.classes[request.cls].repeat
+        begun = request.may_have_run() and repeat is not api.Repeat.FREE
+        if request.unique and not request.ended:
+            request.background = request.background or bool(request.job)
+            request.abandoned = begun and not request.job
+        self.leave(request, waiter)
 
     # -- from the worker links
 
@@ -268,14 +287,14 @@
         """The one question that each link asks just before the first byte of an attempt, however long it took
         to get there: is somebody still waiting, does the worker still take new work, and do the decisions
         still stand by it (its window, its deadline, what else of the job may have run)?"""
-        flow, now = attempt.flow, self.clock.now()
-        if attempt.ended or not flow.wanted:
+        request, now = attempt.request, self.clock.now()
+        if attempt.ended or not request.wanted:
             return False
         grace = self.settings.drain_grace - GRACE_MARGIN
         if not attempt.entry.may_be_sent(now, grace):
             self.counters.add("out.late.drained")
             return False
-        if not self.module.may_begin(flow.id, attempt.number, now):
+        if not self.module.may_begin(request.id, attempt.number, now):
             self.counters.add("out.late.overtaken")
             return False
         return True
@@ -298,43 +317,43 @@
         if outcome.never_ran:
             attempt.may_have_run = False
         self.counters.add(f"out.ended.{outcome.value}")
-        flow = attempt.flow
+        request = attempt.request
         if log.isEnabledFor(logging.DEBUG):
-            fields = {"job": flow.wire_id or flow.unique, "attempt": attempt.number,
+            fields = {"job": request.wire_id or request.unique, "attempt": attempt.number,
                       "worker": attempt.entry.name, "outcome": outcome.value,
                       "ms": round(self.clock.now() - attempt.made_at, 1)}  # fmt: skip
             log.debug("an attempt has ended", extra=fields)
-        if flow.job and self.keeper is not None:
+        if request.job and self.keeper is not None:
             self.keeper.released(attempt, outcome)
-        if outcome is api.Outcome.DONE and not flow.ended:
-            self._finish(flow, Answer(Verdict.SERVED, result))
-        elif flow.abandoned and not flow.wanted and all(s.ended for s in flow.attempts):
-            self._finish(flow, None)  # its client has gone: no further attempt begins
+        if outcome is api.Outcome.DONE and not request.ended:
+            self._finish(request, Answer(Verdict.SERVED, result))
+        elif request.abandoned and not request.wanted and all(s.ended for s in request.attempts):
+            self._finish(request, None)  # its client has gone: no further attempt begins
         self._events.append(
             api.AttemptEnded(
-                flow.id, attempt.number, attempt.entry.name, outcome,
-                self.clock.now() - attempt.made_at, flow.ended, report, stale,
+                request.id, attempt.number, attempt.entry.name, outcome,
+                self.clock.now() - attempt.made_at, request.ended, report, stale,
             )
         )  # fmt: skip
-        self._release(flow)
+        self._release(request)
 
     def progress(self, attempt: Attempt, started: bool, share: float = 0.0) -> None:
         if attempt.ended:
             return
         attempt.accepted = True
-        flow = attempt.flow
-        if flow.job and self.keeper is not None:
+        request = attempt.request
+        if request.job and self.keeper is not None:
             self.keeper.renew(attempt)
-        self._events.append(api.Progress(flow.id, attempt.number, attempt.entry.name, started, share))
-        if share > flow.share and not flow.ended:
-            flow.share = share
-            for waiter in flow.waiters:
-                waiter.progress(flow, share)
+        self._events.append(api.Progress(request.id, attempt.number, attempt.entry.name, started, share))
+        if share > request.share and not request.ended:
+            request.share = share
+            for waiter in request.waiters:
+                waiter.progress(request, share)
 
     def data_part(self, attempt: Attempt, data: bytes, warning: bool) -> None:
         """A worker's partial data, for those fronts that pass it on."""
-        for waiter in attempt.flow.waiters:
-            waiter.data_part(attempt.flow, data, warning)
+        for waiter in attempt.request.waiters:
+            waiter.data_part(attempt.request, data, warning)
 
     def probed(self, entry: ServiceEntry, ok: bool, elapsed: float, report: api.Report | None = None) -> None:
         self.counters.add("out.probe.answered" if ok else "out.probe.failed")
@@ -352,34 +371,34 @@
         self.decide()
         learned.take(self.module, found)
 
-    def let_go(self, flow: Flow) -> None:
+    def let_go(self, request: Request) -> None:
         """It lives on elsewhere: nobody is answered and nothing is called off here."""
-        flow.ended = True
-        flow.waiters.clear()
+        request.ended = True
+        request.waiters.clear()
         self.outstanding -= 1
-        self.deadlines.drop(flow.backstop)
-        for attempt in flow.attempts:
+        self.deadlines.drop(request.backstop)
+        for attempt in request.attempts:
             attempt.ended = True
             self.deadlines.drop(attempt.expiry)
-        self.counters.add("out.flows_moved")
-        self._by_unique.pop((flow.cls, flow.unique), None)
-        self._release(flow)
+        self.counters.add("out.requests_moved")
+        self._by_unique.pop((request.cls, request.unique), None)
+        self._release(request)
 
-    def take_over(self, flow: Flow, waiter: EdgeSide | None) -> None:
+    def take_over(self, request: Request, waiter: EdgeSide | None) -> None:
         """It has lived elsewhere, and is ours from now on. Raises `ValueError` and `TableFull`."""
-        name = (flow.cls, flow.unique)
-        if (flow.unique and name in self._by_unique) or flow.wire_id in self._by_wire:
+        name = (request.cls, request.unique)
+        if (request.unique and name in self._by_unique) or request.wire_id in self._by_wire:
             raise ValueError("its id is another's here")
-        flow.id = self.flows.add(flow)
-        self.counters.add("in.flows_moved")
+        request.id = self.requests.add(request)
+        self.counters.add("in.requests_moved")
         self.outstanding += 1
         if waiter is not None:
-            flow.waiters.append(waiter)
-        flow.backstop = self.deadlines.set(flow.deadline, lambda: self._overdue(flow))
-        if flow.unique:
-            self._by_unique[name] = flow
-        self._by_wire[flow.wire_id] = flow
-        for attempt in flow.attempts:
+            request.waiters.append(waiter)
+        request.backstop = self.deadlines.set(request.deadline, lambda: self._overdue(request))
+        if request.unique:
+            self._by_unique[name] = request
+        self._by_wire[request.wire_id] = request
+        for attempt in request.attempts:
             if not attempt.ended:
                 self._expire(attempt)
 
@@ -387,19 +406,23 @@
         at = attempt.made_at + attempt.timeout
         attempt.expiry = self.deadlines.set(at, lambda: self._timed_out(attempt))
 
-    def flow_of(self, wire_id: str) -> Flow | None:
+    def request_of(self, wire_id: str) -> Request | None:
         return self._by_wire.get(wire_id)
 
-    def flow_by_unique(self, unique: str) -> Flow | None:
+    def request_by_unique(self, unique: str) -> Request | None:
         return next((f for c in self.classes if (f := self._by_unique.get((c, unique)))), None)
 
-    def late_result(self, flow: Flow, result: bytes) -> None:
+    def late_result(self, request: Request, result: bytes) -> None:
         """A worker finished an attempt that had been counted as ended: its result is as good as any."""
-        if not flow.ended:
-            self._events.append(api.RequestGone(flow.id))
-            self._finish(flow, Answer(Verdict.SERVED, result))
-        elif flow.unique and self._kept.get((flow.cls, flow.unique), (0.0, None, False))[1] == FAILED:
-            self._keep(flow, Answer(Verdict.SERVED, result))  # too late for an answer, not for a resubmission
+        if not request.ended:
+            self._events.append(api.RequestGone(request.id))
+            self._finish(request, Answer(Verdict.SERVED, result))
+        elif (
+            request.unique and self._kept.get((request.cls, request.unique), (0.0, None, False))[1] == FAILED
+        ):
+            self._keep(
+                request, Answer(Verdict.SERVED, result)
+            )  # too late for an answer, not for a resubmission
 
     # -- the decisions
 
@@ -421,15 +444,15 @@
         if isinstance(action, api.Send):
             self._send(action)
         elif isinstance(action, api.Cancel):
-            flow = self.flows.get(action.request)
-            if flow is not None and must(action.attempt < len(flow.attempts), "cancels what was sent"):
-                self._cancel(flow.attempts[action.attempt])
+            request = self.requests.get(action.request)
+            if request is not None and must(action.attempt < len(request.attempts), "cancels what was sent"):
+                self._cancel(request.attempts[action.attempt])
         elif isinstance(action, api.Refuse | api.Fail):
-            flow = self.flows.get(action.request)
-            if flow is not None and isinstance(action, api.Refuse):
-                self._finish(flow, self.turned_down(action.wait))
-            elif flow is not None:
-                self._finish(flow, FAILED)
+            request = self.requests.get(action.request)
+            if request is not None and isinstance(action, api.Refuse):
+                self._finish(request, self.turned_down(action.wait))
+            elif request is not None:
+                self._finish(request, FAILED)
         elif isinstance(action, api.SetTimer):
             handle = action.handle
             self.deadlines.set(action.at, lambda: self._events.append(api.TimerFired(handle)))
@@ -443,22 +466,26 @@
             self.source.watch()
 
     def _send(self, action: api.Send) -> None:
-        flow = self.flows.get(action.request)
+        request = self.requests.get(action.request)
         entry = self.entries.get(action.worker)
-        if flow is None or entry is None:
-            must(False, "sends name a flow and a service entry")
+        if request is None or entry is None:
+            must(False, "sends name a request and a service entry")
             return
         now = self.clock.now()
-        left = max(0.0, flow.deadline - now)
+        left = max(0.0, request.deadline - now)
         timeout = left if action.timeout is None else min(left, action.timeout)
-        attempt = Attempt(flow, len(flow.attempts), entry, now, timeout)
-        flow.attempts.append(attempt)
+        attempt = Attempt(request, len(request.attempts), entry, now, timeout)
+        request.attempts.append(attempt)
         if log.isEnabledFor(logging.DEBUG):
-            fields = {"job": flow.wire_id or flow.unique, "attempt": attempt.number, "worker": entry.name}
+            fields = {
+                "job": request.wire_id or request.unique,
+                "attempt": attempt.number,
+                "worker": entry.name,
+            }
             log.debug("an attempt is sent", extra=fields)
-        if must(not flow.ended, "no send after the end"):
+        if must(not request.ended, "no send after the end"):
             self._expire(attempt)
-            if flow.job and self.keeper is not None:
+            if request.job and self.keeper is not None:
                 self.keeper.lease(attempt, lambda: entry.link.send(attempt))
             else:
                 entry.link.send(attempt)
@@ -476,18 +503,18 @@
             attempt.entry.link.cancel(attempt)
             self.ended(attempt, api.Outcome.CANCELLED)
 
-    def _overdue(self, flow: Flow) -> None:
-        """The decisions answer each flow before this; should they not, the client still hears."""
-        if not flow.ended:
+    def _overdue(self, request: Request) -> None:
+        """The decisions answer each request before this; should they not, the client still hears."""
+        if not request.ended:
             self.decide()  # late as we are, theirs may be the word that comes in this very turn
-        if not must(flow.ended, "every flow is answered by its deadline"):
-            self._events.append(api.RequestGone(flow.id))
-            self._finish(flow, FAILED)
+        if not must(request.ended, "every request is answered by its deadline"):
+            self._events.append(api.RequestGone(request.id))
+            self._finish(request, FAILED)
 
     # -- the figures
 
     def count_answer(self, cls: str, verdict: Verdict) -> None:
-        """Count one job's end. Fronts call it only for jobs that they refuse before there is a flow."""
+        """Count one job's end. Fronts call it only for jobs that they refuse before there is a request."""
         self.counters.add(f"answer.{cls}.{verdict.value}")
 
     def figures(self) -> dict[str, Any]:
@@ -501,66 +528,70 @@
             "ejected": len(self.module.avoided(self.clock.now()) & {e.name for e in listed}),
         }
 
-    # -- the end of a flow
+    # -- the end of a request
 
-    def _finish(self, flow: Flow, answer: Answer | None) -> None:
-        """The flow is over; without an answer, since nobody waits for one."""
-        if not must(not flow.ended, "one final answer per flow"):
+    def _finish(self, request: Request, answer: Answer | None) -> None:
+        """The request is over; without an answer, since nobody waits for one."""
+        if not must(not request.ended, "one final answer per request"):
             return
-        flow.ended = True
-        self.deadlines.drop(flow.backstop)
-        self.outstanding -= flow.id >= 0
+        request.ended = True
+        self.deadlines.drop(request.backstop)
+        self.outstanding -= request.id >= 0
         if answer is None:
             self.counters.add("answer.nobody")
         else:
-            self.count_answer(flow.cls, answer.verdict)
-        self._withdraw(flow)
-        told, answer = answer is not None and bool(flow.waiters), answer or FAILED
+            self.count_answer(request.cls, answer.verdict)
+        self._withdraw(request)
+        told, answer = answer is not None and bool(request.waiters), answer or FAILED
         if log.isEnabledFor(logging.DEBUG):
-            fields = {"job": flow.wire_id or flow.unique, "class": flow.cls, "end": answer.verdict.value}
+            fields = {
+                "job": request.wire_id or request.unique,
+                "class": request.cls,
+                "end": answer.verdict.value,
+            }
             log.debug("a job has ended", extra=fields)
-        if flow.job and self.keeper is not None:
+        if request.job and self.keeper is not None:
             # Until its end is on disk it can be joined, and nobody hears of it.
-            self.keeper.end(flow, answer, told, lambda answer: self._give(flow, answer))
+            self.keeper.end(request, answer, told, lambda answer: self._give(request, answer))
         else:
-            self._give(flow, answer)
-        self._release(flow)
+            self._give(request, answer)
+        self._release(request)
 
-    def _withdraw(self, flow: Flow) -> None:
+    def _withdraw(self, request: Request) -> None:
         """Of a job that is over nothing more begins. What has not gone out whole is taken back here, at once:
         it never ran, and so that needs no leave to call off what workers have."""
-        for attempt in flow.attempts:
+        for attempt in request.attempts:
             if not attempt.ended and not attempt.may_have_run:
                 attempt.entry.link.cancel(attempt)
                 self.ended(attempt, api.Outcome.NOT_SENT)
 
-    def _give(self, flow: Flow, answer: Answer) -> None:
-        if flow.unique and self._by_unique.get((flow.cls, flow.unique)) is flow:
-            del self._by_unique[flow.cls, flow.unique]
-            if not flow.job:
-                self._keep(flow, answer)
-        waiters, flow.waiters = flow.waiters, []
+    def _give(self, request: Request, answer: Answer) -> None:
+        if request.unique and self._by_unique.get((request.cls, request.unique)) is request:
+            del self._by_unique[request.cls, request.unique]
+            if not request.job:
+                self._keep(request, answer)
+        waiters, request.waiters = request.waiters, []
         for waiter in waiters:
-            waiter.answer(flow, answer)
+            waiter.answer(request, answer)
 
-    def _release(self, flow: Flow) -> None:
-        """Free the slot once nothing is owed or out. Workers' news of a finished flow find no flow."""
-        if flow.ended and flow.id >= 0 and all(s.ended for s in flow.attempts):
-            self.flows.remove(flow.id)
-            if self._by_wire.get(flow.wire_id) is flow:
-                del self._by_wire[flow.wire_id]
+    def _release(self, request: Request) -> None:
+        """Free the slot once nothing is owed or out. Workers' news of a finished request find no request."""
+        if request.ended and request.id >= 0 and all(s.ended for s in request.attempts):
+            self.requests.remove(request.id)
+            if self._by_wire.get(request.wire_id) is request:
+                del self._by_wire[request.wire_id]
 
-    def _keep(self, flow: Flow, answer: Answer) -> None:
+    def _keep(self, request: Request, answer: Answer) -> None:
         """Keep what a resubmission must be told: a result, or that a job which may not run twice may have."""
-        single = self.classes[flow.cls].repeat is not api.Repeat.FREE
-        if answer.verdict is Verdict.SERVED or (single and flow.may_have_run()):
+        single = self.classes[request.cls].repeat is not api.Repeat.FREE
+        if answer.verdict is Verdict.SERVED or (single and request.may_have_run()):
             if answer.verdict is not Verdict.SERVED or not self.keeps_results:
                 answer = FAILED
-            name = (flow.cls, flow.unique)
+            name = (request.cls, request.unique)
             old = self._kept.pop(name, None)
             self._kept_bytes += len(answer.result) - (len(old[1].result) if old else 0)
             now = self.clock.now()
-            self._kept[name] = (now + KEPT_FOR, answer, flow.once)
+            self._kept[name] = (now + KEPT_FOR, answer, request.once)
             while self._kept:
                 first = next(iter(self._kept))
                 until, oldest, _ = self._kept[first]
--- a/eiderpin/core/durability.py
+++ b/eiderpin/core/durability.py
@@ -5,8 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from eiderpin.core.attempts import Attempt
-from eiderpin.core.flows import Answer, Flow
+from eiderpin.core.requests import Answer, Attempt, Request
 from eiderpin.interface import Outcome
 
 
@@ -19,19 +18,19 @@
         """Whether jobs of this class have to outlive the process."""
         ...
 
-    def kept(self, flow: Flow) -> Answer | None:
+    def kept(self, request: Request) -> Answer | None:
         """The answer of an ended job by this name. Raises `OtherJob`."""
         ...
 
-    def tell_kept(self, flow: Flow, answer: Answer, tell: Callable[[Answer], None]) -> None:
+    def tell_kept(self, request: Request, answer: Answer, tell: Callable[[Answer], None]) -> None:
         """Tell a kept answer, once it is on disk that somebody has been told."""
         ...
 
-    def take(self, flow: Flow) -> bool:
+    def take(self, request: Request) -> bool:
         """Take it on; False: the disk takes nothing now."""
         ...
 
-    def when_kept(self, flow: Flow, call: Callable[[bool], None]) -> None:
+    def when_kept(self, request: Request, call: Callable[[bool], None]) -> None:
         """Call once all that has been said of it is on disk (True), or cannot be put there (False)."""
         ...
 
@@ -47,7 +46,7 @@
         """The attempt has ended."""
         ...
 
-    def end(self, flow: Flow, answer: Answer, told: bool, tell: Callable[[Answer], None]) -> None:
+    def end(self, request: Request, answer: Answer, told: bool, tell: Callable[[Answer], None]) -> None:
         """Write its end; `tell` is called once that is on disk, or at its deadline with a failure."""
         ...
 
--- a/eiderpin/core/moves.py
+++ b/eiderpin/core/moves.py
@@ -1,4 +1,4 @@
-"""Flows that go from an old process to the new one beside it, with the attempts that are out for them."""
+"""Requests that go from an old process to the new one beside it, with the attempts that are out for them."""
 
 from __future__ import annotations
 
@@ -6,14 +6,14 @@
 from typing import Any
 
 from eiderpin import interface as api
-from eiderpin.core.attempts import Attempt
 from eiderpin.core.dispatcher import Dispatcher
-from eiderpin.core.flows import EdgeSide, Flow, TableFull
+from eiderpin.core.requests import Attempt, EdgeSide, Request
+from eiderpin.core.slot_table import TableFull
 
 
 @dataclass(slots=True)
 class Moved:
-    """A flow on its way. Times are in ms from now, or ago: the processes' clocks may differ."""
+    """A request on its way. Times are in ms from now, or ago: the processes' clocks may differ."""
 
     cls: str
     unique: str
@@ -46,62 +46,63 @@
     idempotency_key: str | None = None
 
 
-def let_durable_go(core: Dispatcher, flow: Flow) -> list[tuple[Waits, EdgeSide]]:
-    """Take a durable flow out of here: the ledger says all that there is to say of it. Returns those who wait
-    for it."""
+def let_durable_go(core: Dispatcher, request: Request) -> list[tuple[Waits, EdgeSide]]:
+    """Take a durable request out of here: the ledger says all that there is to say of it. Returns those who
+    wait for it."""
     now = core.clock.now()
     waits = Waits(
-        flow.cls, flow.unique, flow.target.decode("latin-1"), flow.body.decode("latin-1"),
-        flow.deadline - now, flow.idempotency_key,
+        request.cls, request.unique, request.target.decode("latin-1"), request.body.decode("latin-1"),
+        request.deadline - now, request.idempotency_key,
     )  # fmt: skip
-    waiters = list(flow.waiters)
-    core.let_go(flow)
-    core.tell(api.RequestGone(flow.id))
+    waiters = list(request.waiters)
+    core.let_go(request)
+    core.tell(api.RequestGone(request.id))
     return [(waits, waiter) for waiter in waiters]
 
 
-def asked_by(core: Dispatcher, waits: Waits) -> Flow:
-    """The flow by which it asks again at the next owner. Raises `ValueError`."""
+def asked_by(core: Dispatcher, waits: Waits) -> Request:
+    """The request by which it asks again at the next owner. Raises `ValueError`."""
     if waits.cls not in core.classes or not waits.unique:
         raise ValueError("no such job")
-    return Flow(
+    return Request(
         waits.cls, waits.unique, waits.target.encode("latin-1"), waits.body.encode("latin-1"),
         core.clock.now() + float(waits.left), idempotency_key=waits.idempotency_key,
     )  # fmt: skip
 
 
-def hand_out(core: Dispatcher, flow: Flow) -> Moved | None:
-    """Take a flow out of here, and out of the decisions; None where it has to stay. Nothing is called off."""
+def hand_out(core: Dispatcher, request: Request) -> Moved | None:
+    """Take a request out of here, and out of the decisions; None where it has to stay. Nothing is called
+    off."""
     core.decide()  # what has come in for it must not be lost
-    out = [s for s in flow.attempts if not s.ended]
-    if flow.ended or flow.background or not flow.once or flow.job:
+    out = [s for s in request.attempts if not s.ended]
+    if request.ended or request.background or not request.once or request.job:
         return None  # a durable one belongs to the ledger, and goes with that
     if not all(s.entry.link.may_move(s) for s in out):
         return None
-    standing = core.module.hand_out(flow.id, core.clock.now())
+    standing = core.module.hand_out(request.id, core.clock.now())
     if standing is None:
         return None
     now = core.clock.now()
     moved = Moved(
-        flow.cls, flow.unique, flow.target.decode("latin-1"), flow.body.decode("latin-1"),
-        flow.deadline - now, flow.slots, flow.memory, flow.tenant, flow.key, flow.hint,
-        flow.client_retry, flow.priority, flow.wire_id, flow.share,
-        [[s.entry.name, now - s.made_at, s.timeout, s.may_have_run, s.ended] for s in flow.attempts],
-        asdict(standing), flow.idempotency_key,
+        request.cls, request.unique, request.target.decode("latin-1"), request.body.decode("latin-1"),
+        request.deadline - now, request.slots, request.memory, request.tenant, request.key, request.hint,
+        request.client_retry, request.priority, request.wire_id, request.share,
+        [[s.entry.name, now - s.made_at, s.timeout, s.may_have_run, s.ended] for s in request.attempts],
+        asdict(standing), request.idempotency_key,
     )  # fmt: skip
-    core.let_go(flow)
+    core.let_go(request)
     return moved
 
 
-def adopt(core: Dispatcher, moved: Moved, waiter: EdgeSide) -> Flow:
-    """Take a flow in as it stands elsewhere. Raises `ValueError` where it cannot be."""
+def adopt(core: Dispatcher, moved: Moved, waiter: EdgeSide) -> Request:
+    """Take a request in as it stands elsewhere. Raises `ValueError` where it cannot be."""
     now = core.clock.now()
     if moved.cls not in core.classes or any(s[0] not in core.entries for s in moved.attempts):
         raise ValueError("its class or a worker of its is not known here")
     standing = api.Standing(**moved.standing)
     if not all(0 <= number < len(moved.attempts) for number, _, _ in standing.out):
         raise ValueError("an attempt that was never made")
-    flow = Flow(
+    request = Request(
         moved.cls, moved.unique, moved.target.encode("latin-1"), moved.body.encode("latin-1"),
         now + moved.left, moved.slots, moved.memory, moved.tenant, moved.key, moved.hint,
         moved.client_retry, moved.priority, once=True, wire_id=moved.wire_id, share=moved.share,
@@ -109,10 +110,12 @@
     )  # fmt: skip
     for number, (name, ago, timeout, may_have_run, ended) in enumerate(moved.attempts):
         entry = core.entries[name]
-        flow.attempts.append(Attempt(flow, number, entry, now - ago, timeout, True, may_have_run, ended))
+        request.attempts.append(
+            Attempt(request, number, entry, now - ago, timeout, True, may_have_run, ended)
+        )
     try:
-        core.take_over(flow, waiter)
+        core.take_over(request, waiter)
     except TableFull:
         raise ValueError("there is no room") from None
-    core.tell(api.Adopted(core.request_of(flow), standing))
-    return flow
+    core.tell(api.Adopted(core.decision_request(request), standing))
+    return request
--- a/eiderpin/fleet/outcomes.py
+++ b/eiderpin/fleet/outcomes.py
@@ -14,11 +14,10 @@
 
 import msgspec
 
-from eiderpin.core.attempts import Attempt
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.durability import OtherJob
-from eiderpin.core.flows import FAILED, Answer, Flow, Verdict
+from eiderpin.core.requests import FAILED, Answer, Attempt, Request, Verdict
 from eiderpin.fleet import incarnation
 from eiderpin.fleet.incarnation import Incarnation
 from eiderpin.interface import Outcome
@@ -94,19 +93,19 @@
     def covers_class(self, cls: str) -> bool:
         return cls in self.classes
 
-    def name_of(self, flow: Flow) -> str:
-        return f"{PREFIX}{flow.cls}/{flow.unique}"
+    def name_of(self, request: Request) -> str:
+        return f"{PREFIX}{request.cls}/{request.unique}"
 
-    def claim_of(self, flow: Flow) -> Claim | None:
-        document = self.host.member.store.get(self.name_of(flow))
+    def claim_of(self, request: Request) -> Claim | None:
+        document = self.host.member.store.get(self.name_of(request))
         try:
             return msgspec.msgpack.decode(document.value, type=Claim) if document is not None else None
         except msgspec.MsgspecError:
             return Claim("", b"")  # somebody else's writing: nobody knows
 
-    def is_mine(self, flow: Flow) -> bool:
+    def is_mine(self, request: Request) -> bool:
         """Whether it is claimed by us, and has no outcome."""
-        claim = self.claim_of(flow)
+        claim = self.claim_of(request)
         return claim is not None and claim.by == self.me and not claim.verdict
 
     def revision(self, name: str) -> int:
@@ -119,48 +118,48 @@
         latest = document is not None and incarnation.holds(by, self.life.generation, document.revision)
         return latest and store.get(PRESENT + name) is not None
 
-    def kept(self, flow: Flow) -> Answer | None:
-        claim = self.claim_of(flow)
+    def kept(self, request: Request) -> Answer | None:
+        claim = self.claim_of(request)
         if claim is None:
             return None
-        if claim.print and claim.print != fingerprint(flow.target, flow.body):
+        if claim.print and claim.print != fingerprint(request.target, request.body):
             raise OtherJob
         if claim.verdict:
             served = claim.verdict == Verdict.SERVED.value
             return Answer(Verdict.SERVED, claim.result) if served else FAILED
         if claim.by == self.me:
-            return None if self.name_of(flow) in self.unsent else FAILED
+            return None if self.name_of(request) in self.unsent else FAILED
         return None if self.alive(claim.by) else FAILED
 
-    def tell_kept(self, flow: Flow, answer: Answer, tell: Callable[[Answer], None]) -> None:
+    def tell_kept(self, request: Request, answer: Answer, tell: Callable[[Answer], None]) -> None:
         tell(answer)
 
-    def take(self, flow: Flow) -> bool:
-        claim = self.claim_of(flow)
+    def take(self, request: Request) -> bool:
+        claim = self.claim_of(request)
         if self.host.member.failed or (claim is not None and claim.by != self.me):
             return False
         self.number += 1
-        flow.job = self.number
+        request.job = self.number
         return True
 
-    def when_kept(self, flow: Flow, call: Callable[[bool], None]) -> None:
+    def when_kept(self, request: Request, call: Callable[[bool], None]) -> None:
         call(True)
 
     def lease(self, attempt: Attempt, send: Callable[[], None]) -> None:
         """Claim the job's name before its first byte."""
-        flow = attempt.flow
-        if flow.job in self.claimed:
+        request = attempt.request
+        if request.job in self.claimed:
             send()
             return
         if not self.lease_number or self.life.standing is not incarnation.Standing.HELD:
             self.give_up(attempt)
             return
-        name = self.name_of(flow)
-        value = msgspec.msgpack.encode(Claim(self.me, fingerprint(flow.target, flow.body)))
+        name = self.name_of(request)
+        value = msgspec.msgpack.encode(Claim(self.me, fingerprint(request.target, request.body)))
 
         # One of ours that may have been left, with nothing sent: it is written anew, so that a removal of it
         # that is still on its way finds another revision.
-        left_over = self.revision(name) if name in self.unsent and self.is_mine(flow) else 0
+        left_over = self.revision(name) if name in self.unsent and self.is_mine(request) else 0
 
         def done(answer: state.Answer | Exception) -> None:
             if not isinstance(answer, state.Answer) or answer.error or not answer.ok:
@@ -168,15 +167,15 @@
                 if not attempt.ended:
                     self.give_up(attempt)
                 return
-            if attempt.ended or flow.ended:
+            if attempt.ended or request.ended:
                 self.note_unsent(name)
                 return
             self.unsent.pop(name, None)
-            self.claimed.add(flow.job)
+            self.claimed.add(request.job)
             send()
 
         put = state.Put(name, value, self.lease_number)
-        left = max(50.0, flow.deadline - self.core.clock.now())
+        left = max(50.0, request.deadline - self.core.clock.now())
         claim = state.Transaction([put], [state.Compare(name, left_over)])
         self.submit_guarded(claim, done, min(CLAIM_WITHIN, left))
 
@@ -184,7 +183,7 @@
         """It can't be claimed, and nothing of it has been sent."""
         self.core.counters.add("outcomes.not_claimed")
         self.core.ended(attempt, Outcome.NOT_SENT)
-        self.core.turn_down(attempt.flow)
+        self.core.turn_down(attempt.request)
 
     def note_unsent(self, name: str) -> None:
         self.unsent[name] = None
@@ -197,13 +196,13 @@
     def released(self, attempt: Attempt, outcome: Outcome) -> None:
         """A claim stands until its job's end."""
 
-    def end(self, flow: Flow, answer: Answer, told: bool, tell: Callable[[Answer], None]) -> None:
-        if flow.job not in self.claimed:
+    def end(self, request: Request, answer: Answer, told: bool, tell: Callable[[Answer], None]) -> None:
+        if request.job not in self.claimed:
             tell(answer)
             return
-        self.claimed.discard(flow.job)
-        name = self.name_of(flow)
-        if answer.verdict is not Verdict.SERVED and not flow.may_have_run():
+        self.claimed.discard(request.job)
+        name = self.name_of(request)
+        if answer.verdict is not Verdict.SERVED and not request.may_have_run():
             # It has not run: whoever asks again may have it run, here or elsewhere.
             self.note_unsent(name)
             gone = state.Transaction([state.Delete(name)], [state.Compare(name, self.revision(name))])
@@ -211,7 +210,7 @@
             tell(answer)
             return
         claim = Claim(
-            self.me, fingerprint(flow.target, flow.body), answer.verdict.value, answer.result
+            self.me, fingerprint(request.target, request.body), answer.verdict.value, answer.result
         )  # fmt: skip
         put = state.Put(name, msgspec.msgpack.encode(claim), self.lease_number)
         if answer.verdict is not Verdict.SERVED:
@@ -227,7 +226,7 @@
             call(answer)
 
         now = self.core.clock.now()
-        at = min(now + END_WITHIN, max(now, flow.deadline - 5.0))
+        at = min(now + END_WITHIN, max(now, request.deadline - 5.0))
         guard = self.core.deadlines.set(at, once)
         self.submit(state.Transaction([put]), once, CLAIM_WITHIN)
 
--- a/eiderpin/fleet/ownership.py
+++ b/eiderpin/fleet/ownership.py
@@ -9,8 +9,8 @@
 
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.durability import OtherJob
-from eiderpin.core.flows import FAILED, Flow
 from eiderpin.core.moves import Waits, let_durable_go
+from eiderpin.core.requests import FAILED, Request
 from eiderpin.durable.files import Locked
 from eiderpin.durable.frames import BadFormat
 from eiderpin.durable.reading import Damaged
@@ -44,7 +44,7 @@
         self.ask_at = math.inf  # when we ask for it again
         self.begun_at = loop.clock.now()
         self.given_up = False  # it is the successor's, or about to be
-        self.waiting: list[tuple[Flow, EdgeConnection]] = []  # its last owner's clients, until it is ready
+        self.waiting: list[tuple[Request, EdgeConnection]] = []  # its last owner's clients, until it is ready
         self.open()
 
     # -- taking it
@@ -110,35 +110,35 @@
             self.say("recovered jobs: " + ", ".join(f"{n} {step.value}" for step, n in done.items()))
         self.workers.take_early()
         waiting, self.waiting = self.waiting, []
-        for flow, edge in waiting:
-            self._join(flow, edge)
+        for request, edge in waiting:
+            self._join(request, edge)
 
     # -- clients that come with it
 
-    def wait_for(self, flow: Flow, edge: EdgeConnection) -> None:
+    def wait_for(self, request: Request, edge: EdgeConnection) -> None:
         """A client of its last owner waits for this job here from now on."""
-        edge.hold(flow)
+        edge.hold(request)
         edge.front.may_hold(edge)
         if self.keeper is not None and self.keeper.recovered:
-            self._join(flow, edge)
+            self._join(request, edge)
         else:
-            self.waiting.append((flow, edge))
-            self.core.deadlines.set(flow.deadline, lambda: self._overdue(flow, edge))
+            self.waiting.append((request, edge))
+            self.core.deadlines.set(request.deadline, lambda: self._overdue(request, edge))
 
-    def _overdue(self, flow: Flow, edge: EdgeConnection) -> None:
-        if (flow, edge) in self.waiting:
-            self.waiting.remove((flow, edge))
-            edge.answer(flow, FAILED)
+    def _overdue(self, request: Request, edge: EdgeConnection) -> None:
+        if (request, edge) in self.waiting:
+            self.waiting.remove((request, edge))
+            edge.answer(request, FAILED)
 
-    def _join(self, flow: Flow, edge: EdgeConnection) -> None:
+    def _join(self, request: Request, edge: EdgeConnection) -> None:
         """By its name, as one who asks again."""
-        if flow.ended:
+        if request.ended:
             return  # it has left
         edge.hold(None)
         try:
-            joined = self.core.submit(flow, edge)
+            joined = self.core.submit(request, edge)
         except OtherJob:  # its own has been forgotten, and another has the name
-            edge.answer(flow, FAILED)
+            edge.answer(request, FAILED)
             return
         if not joined.ended:
             edge.hold(joined)
@@ -154,16 +154,16 @@
         keeper = self.keeper
         if keeper is None or not keeper.recovered or keeper.failed or not keeper.quiet():
             return None
-        flows = [f for f in self.core.flows.all() if f.job and not f.ended]
-        out = [s for f in flows for s in f.attempts if not s.ended]
-        clients = [(f, w) for f in flows for w in f.waiters]
+        requests = [f for f in self.core.requests.all() if f.job and not f.ended]
+        out = [s for f in requests for s in f.attempts if not s.ended]
+        clients = [(f, w) for f in requests for w in f.waiters]
         if not all(s.entry.link.may_move(s) for s in out):
             return None
         if not all(isinstance(w, EdgeConnection) and w.can_go(f) for f, w in clients):
             return None
         waiting = []
-        for flow in flows:
-            for waits, waiter in let_durable_go(self.core, flow):
+        for request in requests:
+            for waits, waiter in let_durable_go(self.core, request):
                 assert isinstance(waiter, EdgeConnection)
                 waiting.append((waits, waiter))
         self.loop.selector.unregister(keeper.log)
--- a/eiderpin/jobs/elsewhere.py
+++ b/eiderpin/jobs/elsewhere.py
@@ -4,8 +4,7 @@
 
 from collections.abc import Callable
 
-from eiderpin.core.attempts import Attempt
-from eiderpin.core.flows import Answer, Flow
+from eiderpin.core.requests import Answer, Attempt, Request
 from eiderpin.interface import Outcome
 from eiderpin.parts.durable import Options
 
@@ -19,16 +18,16 @@
     def covers_class(self, cls: str) -> bool:
         return cls in self.options.classes
 
-    def kept(self, flow: Flow) -> Answer | None:
+    def kept(self, request: Request) -> Answer | None:
         return None  # the owner knows, and a turn-down promises nothing
 
-    def tell_kept(self, flow: Flow, answer: Answer, tell: Callable[[Answer], None]) -> None:
+    def tell_kept(self, request: Request, answer: Answer, tell: Callable[[Answer], None]) -> None:
         tell(answer)
 
-    def take(self, flow: Flow) -> bool:
+    def take(self, request: Request) -> bool:
         return False
 
-    def when_kept(self, flow: Flow, call: Callable[[bool], None]) -> None:
+    def when_kept(self, request: Request, call: Callable[[bool], None]) -> None:
         call(False)
 
     def lease(self, attempt: Attempt, send: Callable[[], None]) -> None:
@@ -40,7 +39,7 @@
     def released(self, attempt: Attempt, outcome: Outcome) -> None:
         """None is leased here."""
 
-    def end(self, flow: Flow, answer: Answer, told: bool, tell: Callable[[Answer], None]) -> None:
+    def end(self, request: Request, answer: Answer, told: bool, tell: Callable[[Answer], None]) -> None:
         tell(answer)
 
     def late(self, wire_id: str, worker: str, state: str, result: bytes) -> bool:
--- a/eiderpin/jobs/keeper.py
+++ b/eiderpin/jobs/keeper.py
@@ -9,12 +9,11 @@
 import msgspec
 
 from eiderpin import interface as api
-from eiderpin.core.attempts import Attempt
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.durability import OtherJob
-from eiderpin.core.flows import Answer, Flow, Verdict
 from eiderpin.core.invariants import must
+from eiderpin.core.requests import Answer, Attempt, Request, Verdict
 from eiderpin.durable.files import Files
 from eiderpin.durable.frames import Record
 from eiderpin.durable.log import Log, NotWritable
@@ -138,26 +137,38 @@
     def covers_class(self, cls: str) -> bool:
         return cls in self.options.classes
 
-    def kept(self, flow: Flow) -> Answer | None:
-        job = self.ledger.find(flow.cls, flow.unique) if flow.unique else None
+    def kept(self, request: Request) -> Answer | None:
+        job = self.ledger.find(request.cls, request.unique) if request.unique else None
         if job is None or job.ended is None:
             return None
         if job.ended.at + self.options.keep <= self.now():
             return None
-        if not asks_same(job.accepted, flow.target, flow.body):
+        if not asks_same(job.accepted, request.target, request.body):
             raise OtherJob
         served = job.ended.verdict == Verdict.SERVED.value
         return Answer(Verdict.SERVED, job.ended.result) if served else Answer(Verdict.FAILED)
 
-    def take(self, flow: Flow) -> bool:
+    def take(self, request: Request) -> bool:
         now = self.now()
         number = self.ledger.next_job()
         record = Accepted(
-            now, number, flow.cls, flow.unique, flow.wire_id, flow.target, flow.body, flow.deadline +
-            self.ahead,
-            flow.slots, flow.memory, flow.tenant, flow.key, flow.hint, flow.priority, flow.background,
-            idempotency_key=flow.idempotency_key,
-        )  # fmt: skip
+            now,
+            number,
+            request.cls,
+            request.unique,
+            request.wire_id,
+            request.target,
+            request.body,
+            request.deadline + self.ahead,
+            request.slots,
+            request.memory,
+            request.tenant,
+            request.key,
+            request.hint,
+            request.priority,
+            request.background,
+            idempotency_key=request.idempotency_key,
+        )
         if self.failed:
             return False
         held = self.hold(number)
@@ -169,10 +180,10 @@
                 self._unwritten.add(number)
                 for call in self._waits.pop(number, ()):
                     call(False)
-                self.core.turn_down(flow)
+                self.core.turn_down(request)
 
         self.put(record, told)
-        flow.job = number
+        request.job = number
         return True
 
     def hold(self, number: int) -> Callable[[bool], None]:
@@ -193,14 +204,14 @@
 
         return told
 
-    def when_kept(self, flow: Flow, call: Callable[[bool], None]) -> None:
-        if flow.job not in self._held and flow.job not in self.behind:
+    def when_kept(self, request: Request, call: Callable[[bool], None]) -> None:
+        if request.job not in self._held and request.job not in self.behind:
             call(True)
         else:
-            self._waits.setdefault(flow.job, []).append(call)
+            self._waits.setdefault(request.job, []).append(call)
 
     def lease(self, attempt: Attempt, send: Callable[[], None]) -> None:
-        flow, entry = attempt.flow, attempt.entry
+        request, entry = attempt.request, attempt.entry
         link = "gearman" if entry.listed.shape == "gearman" else "http"
         address = f"{entry.address[0]}:{entry.address[1]}" if link == "http" else ""
 
@@ -215,7 +226,7 @@
                 self.core.ended(attempt, api.Outcome.NOT_SENT)
 
         try:
-            record = self.ledger.lease(flow.job, attempt.number, entry.name, self.now(), link, address)
+            record = self.ledger.lease(request.job, attempt.number, entry.name, self.now(), link, address)
         except MayNotRun as error:
             must(False, f"the ledger allows what the decisions send: {error}")
             self.core.ended(attempt, api.Outcome.NOT_SENT)
@@ -223,7 +234,7 @@
         if self.failed:
             self.core.ended(attempt, api.Outcome.NOT_SENT)
             return
-        held = self.hold(flow.job)
+        held = self.hold(request.job)
         attempt.leased = True
         self.put(record, told)
 
@@ -241,7 +252,7 @@
             self.core.counters.add("ledger.leases_expired")
             log.warning(
                 "a worker has fallen silent: its lease is over",
-                extra={"job": attempt.flow.wire_id, "worker": attempt.entry.name},
+                extra={"job": attempt.request.wire_id, "worker": attempt.entry.name},
             )
             attempt.may_have_run = True
             self.core.ended(attempt, api.Outcome.RESET)
@@ -251,13 +262,13 @@
             self.watch(attempt)
 
     def released(self, attempt: Attempt, outcome: api.Outcome) -> None:
-        flow = attempt.flow
+        request = attempt.request
         self.core.deadlines.drop(self._silences.pop(attempt, None))
-        if not attempt.leased or outcome is api.Outcome.DONE or flow.job not in self.ledger.jobs:
+        if not attempt.leased or outcome is api.Outcome.DONE or request.job not in self.ledger.jobs:
             return  # a result is the job's end, and says all
         ran = attempt.may_have_run and not outcome.never_ran
-        record = Released(self.now(), flow.job, attempt.number, ran, outcome.value)
-        self.write_or_remember(record, flow.job)
+        record = Released(self.now(), request.job, attempt.number, ran, outcome.value)
+        self.write_or_remember(record, request.job)
 
     def write_or_remember(self, record: AnyRecord, job: int) -> None:
         """What has happened has happened: with the disk away, the ledger knows, and writes it when that is
@@ -268,14 +279,14 @@
         else:
             self.put(record, self.hold(job))
 
-    def end(self, flow: Flow, answer: Answer, told: bool, tell: Callable[[Answer], None]) -> None:
-        if flow.job in self.ledger.jobs:
-            record = Ended(self.now(), flow.job, answer.verdict.value, answer.result, told)
-            self.write_or_remember(record, flow.job)
-        self.tell_when_kept(flow.job, flow.deadline, answer, tell)
+    def end(self, request: Request, answer: Answer, told: bool, tell: Callable[[Answer], None]) -> None:
+        if request.job in self.ledger.jobs:
+            record = Ended(self.now(), request.job, answer.verdict.value, answer.result, told)
+            self.write_or_remember(record, request.job)
+        self.tell_when_kept(request.job, request.deadline, answer, tell)
 
-    def tell_kept(self, flow: Flow, answer: Answer, tell: Callable[[Answer], None]) -> None:
-        job = self.ledger.find(flow.cls, flow.unique)
+    def tell_kept(self, request: Request, answer: Answer, tell: Callable[[Answer], None]) -> None:
+        job = self.ledger.find(request.cls, request.unique)
         if job is None or job.ended is None:
             tell(answer)
             return
@@ -283,7 +294,7 @@
         if not job.ended.told:
             # From here on no late result may say otherwise.
             self.write_or_remember(msgspec.structs.replace(job.ended, told=True), number)
-        self.tell_when_kept(number, flow.deadline, answer, tell)
+        self.tell_when_kept(number, request.deadline, answer, tell)
 
     def tell_when_kept(
         self, number: int, deadline: float, answer: Answer, tell: Callable[[Answer], None]
--- a/eiderpin/jobs/recovery.py
+++ b/eiderpin/jobs/recovery.py
@@ -1,11 +1,11 @@
-"""After a start: the ledger's open jobs become flows again, and the decisions learn what they hold."""
+"""After a start: the ledger's open jobs become requests again, and the decisions learn what they hold."""
 
 from __future__ import annotations
 
 from eiderpin import interface as api
-from eiderpin.core.attempts import Attempt, ServiceEntry, WorkerLink
 from eiderpin.core.dispatcher import Dispatcher
-from eiderpin.core.flows import Flow, TableFull, Verdict
+from eiderpin.core.requests import Attempt, Request, ServiceEntry, Verdict, WorkerLink
+from eiderpin.core.slot_table import TableFull
 from eiderpin.jobs.keeper import JobKeeper
 from eiderpin.jobs.ledger import Job, Lease, Step
 from eiderpin.jobs.records import Ended, Released
@@ -43,34 +43,41 @@
     a, now = job.accepted, core.clock.now()
     # A leased one whose deadline has passed may still be told of: its worker goes on trying for a while.
     soonest = now + keeper.options.silence if job.out else now
-    flow = Flow(
+    request = Request(
         a.cls, a.unique, a.target, a.body, max(a.deadline - keeper.ahead, soonest), a.slots, a.memory,
         a.tenant, a.key, a.hint, priority=a.priority, background=True, job=a.job, wire_id=a.wire_id,
         idempotency_key=a.idempotency_key,
     )  # fmt: skip
     for lease in job.leases:
         entry = _entry_of(core, workers, lease)
-        while len(flow.attempts) < lease.leased.attempt:  # made, and never leased
-            flow.attempts.append(Attempt(flow, len(flow.attempts), entry, now, 0.0, ended=True))
-        flow.attempts.append(
+        while len(request.attempts) < lease.leased.attempt:  # made, and never leased
+            request.attempts.append(Attempt(request, len(request.attempts), entry, now, 0.0, ended=True))
+        request.attempts.append(
             Attempt(
-                flow, lease.leased.attempt, entry, now, flow.deadline - now, lease.out, lease.may_have_run,
-                not lease.out, True,
+                request,
+                lease.leased.attempt,
+                entry,
+                now,
+                request.deadline - now,
+                lease.out,
+                lease.may_have_run,
+                not lease.out,
+                True,
             )
-        )  # fmt: skip
+        )
     try:
-        core.take_over(flow, None)
+        core.take_over(request, None)
     except ValueError:
         raise TableFull from None
-    request = core.request_of(flow)
-    out = [s for s in flow.attempts if not s.ended]
-    spec = core.classes[flow.cls]
+    asked = core.decision_request(request)
+    out = [s for s in request.attempts if not s.ended]
+    spec = core.classes[request.cls]
     # Taken on, it is wanted until its deadline: the time that we were down must not make it hopeless.
     standing = api.Standing(
-        flow.deadline - now, flow.hint or spec.aim, len(flow.attempts),
+        request.deadline - now, request.hint or spec.aim, len(request.attempts),
         [(s.number, 0.0, -1.0) for s in out], [s.entry.name for s in out], [],
     )  # fmt: skip
-    core.tell(api.Adopted(request, standing))
+    core.tell(api.Adopted(asked, standing))
     for attempt in out:
         keeper.watch(attempt)
 
--- a/eiderpin/net/discovery.py
+++ b/eiderpin/net/discovery.py
@@ -7,9 +7,9 @@
 import orjson
 
 from eiderpin import interface as api
-from eiderpin.core.attempts import WorkerLink
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher
+from eiderpin.core.requests import WorkerLink
 from eiderpin.net import http
 from eiderpin.net.loop import Connection, Loop
 
--- a/eiderpin/net/edge.py
+++ b/eiderpin/net/edge.py
@@ -12,7 +12,8 @@
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher, IdTaken
 from eiderpin.core.durability import OtherJob
-from eiderpin.core.flows import Answer, Flow, SlotTable, Verdict
+from eiderpin.core.requests import Answer, Request, Verdict
+from eiderpin.core.slot_table import SlotTable
 from eiderpin.net import http
 from eiderpin.net.loop import Connection, Listener, Loop
 from eiderpin.net.room import Room, Spare
@@ -22,7 +23,7 @@
 UNREAD_LIMIT = 15_000.0  # ms in which a client must take something of its answer
 WHOLE_LIMIT = 2850.0  # ms, from the connection or a request's first byte, in which it must have come whole:
 # slow clients take over 2 s, and who never ends one is owed an error within 3 s
-NO_FLOW = Flow("", "", b"", b"", 0.0)
+NO_REQUEST = Request("", "", b"", b"", 0.0)
 MOST_WAITING = 8  # requests sent ahead on one edge connection
 MOST_DEADLINE = 600_000.0  # ms
 # An id goes on to workers in a header and in the target of a cancel.
@@ -46,7 +47,7 @@
     """The client's side of one connection; also workers call back over such a one."""
 
     __slots__ = (
-        "front", "conn", "reader", "waiting", "flow", "last", "number", "keep", "busy", "served", "limit",
+        "front", "conn", "reader", "waiting", "request", "last", "number", "keep", "busy", "served", "limit",
         "held", "worked", "calls_back", "spare",
     )  # fmt: skip
 
@@ -59,7 +60,7 @@
         self.calls_back = False  # the last that it brought was a call-back
         self.reader = http.RequestReader()
         self.waiting: deque[http.Message] = deque()
-        self.flow: Flow | None = None
+        self.request: Request | None = None
         self.busy = False  # a request is being served
         self.keep = True
         self.last = front.loop.clock.now()
@@ -176,15 +177,15 @@
             self.next()
         self.file()
 
-    def hold(self, flow: Flow | None) -> None:
-        """It waits for this flow's answer; None: for none."""
-        self.front.jobs += (flow is not None) - (self.flow is not None)
-        self.flow = flow
-        self.conn.waited = flow is not None
+    def hold(self, request: Request | None) -> None:
+        """It waits for this request's answer; None: for none."""
+        self.front.jobs += (request is not None) - (self.request is not None)
+        self.request = request
+        self.conn.waited = request is not None
 
-    def can_go(self, flow: Flow) -> bool:
-        """Whether it waits for this flow, and nothing else has come or is going out here."""
-        if self.flow is not flow or self.conn.closing:
+    def can_go(self, request: Request) -> bool:
+        """Whether it waits for this request, and nothing else has come or is going out here."""
+        if self.request is not request or self.conn.closing:
             return False
         return self.reader.idle and not self.waiting and not self.conn.unsent
 
@@ -202,11 +203,11 @@
         if cls in self.front.core.classes:
             self.front.core.count_answer(cls, Verdict.TURNED_DOWN)
         self.keep, self.busy = False, True
-        self.answer(NO_FLOW, self.front.core.turned_down(math.inf))
+        self.answer(NO_REQUEST, self.front.core.turned_down(math.inf))
 
-    # what a flow calls
+    # what a request calls
 
-    def answer(self, flow: Flow, answer: Answer) -> None:
+    def answer(self, request: Request, answer: Answer) -> None:
         if answer.verdict is Verdict.SERVED:
             self.reply(200, answer.result)
         elif answer.verdict is Verdict.TURNED_DOWN:
@@ -215,24 +216,24 @@
         else:
             self.reply(500, b"failed\n")
 
-    def progress(self, flow: Flow, share: float) -> None:
+    def progress(self, request: Request, share: float) -> None:
         """Clients of this front hear only the end."""
 
-    def data_part(self, flow: Flow, data: bytes, warning: bool) -> None:
+    def data_part(self, request: Request, data: bytes, warning: bool) -> None:
         """Partial data has no place in an HTTP answer."""
 
     # the end
 
     def leave(self) -> None:
-        flow = self.flow
+        request = self.request
         self.hold(None)
-        if flow is not None and flow.once:
-            self.front.core.leave(flow, self)
-        elif flow is not None:
-            self.front.core.detach(flow, self)
+        if request is not None and request.once:
+            self.front.core.leave(request, self)
+        elif request is not None:
+            self.front.core.detach(request, self)
 
     def end(self) -> None:
-        """The client's end of stream: it has gone, and with it its flow."""
+        """The client's end of stream: it has gone, and with it its request."""
         self.leave()
 
     def close(self) -> None:
@@ -268,7 +269,7 @@
         self.most = most  # jobs that may be waited for
         self.extra = extra  # connections past those, for call-backs and for those who say nothing
         self.memory, self.held = memory, 0  # bytes of requests that may be held, and are
-        self.jobs = 0  # connections that wait for a flow's answer
+        self.jobs = 0  # connections that wait for a request's answer
         self.room: Room[EdgeConnection] = Room()
         self.away = Away.NOBODY
         self.away_at = math.inf  # when the first look for idle connections is, or was
@@ -303,13 +304,13 @@
             edge.conn.close()
         return len(self.connections) < self.most + self.extra
 
-    def movable(self, flow: Flow) -> EdgeConnection | None:
-        """The connection that waits for this flow, where it can go to another process with it."""
-        edge = flow.waiters[0] if len(flow.waiters) == 1 else None
-        return edge if isinstance(edge, EdgeConnection) and edge.can_go(flow) else None
+    def movable(self, request: Request) -> EdgeConnection | None:
+        """The connection that waits for this request, where it can go to another process with it."""
+        edge = request.waiters[0] if len(request.waiters) == 1 else None
+        return edge if isinstance(edge, EdgeConnection) and edge.can_go(request) else None
 
     def adopt(self, sock: socket.socket) -> EdgeConnection:
-        """A client's connection from another process; its flow is on its way."""
+        """A client's connection from another process; its request is on its way."""
         edge = EdgeConnection(self, Connection(self.loop, sock, False))
         edge.number = self.connections.add(edge)
         edge.drop_limit()
@@ -324,7 +325,7 @@
 
     def may_hold(self, edge: EdgeConnection) -> bool:
         """Count what a connection holds of requests; whether all may hold as much together."""
-        body = edge.flow.size if edge.flow is not None else 0
+        body = edge.request.size if edge.request is not None else 0
         held = edge.reader.held + body + sum(len(m.body) for m in edge.waiting)
         grown = held > edge.held
         self.held += held - edge.held
@@ -423,12 +424,12 @@
     def take(self, edge: EdgeConnection, cls: str, message: http.Message) -> None:
         try:
             default = self.core.classes[cls].deadline
-            flow = make_flow(cls, message, self.loop.clock.now(), default, self.core.is_durable(cls))
+            request = make_request(cls, message, self.loop.clock.now(), default, self.core.is_durable(cls))
             if self.jobs >= self.most:
                 self.counters.add("in.over_connections")
                 edge.turn_down(cls)
                 return
-            joined = self.core.submit(flow, edge)
+            joined = self.core.submit(request, edge)
         except ValueError as error:
             self.counters.add("in.bad.400")
             edge.reply(400, f"{error}\n".encode())
@@ -483,10 +484,10 @@
     return name
 
 
-def make_flow(
+def make_request(
     cls: str, message: http.Message, now: float, default_deadline: float, durable: bool = False
-) -> Flow:
-    """A flow from a client's request; that of a durable class may bear a name by which it can be asked for
+) -> Request:
+    """A request from a client's request; that of a durable class may bear a name by which it can be asked for
     again. Raises `ValueError` with what is wrong with it."""
     h = message.headers
     unique, named = h.get("req-id", ""), h.get("idempotency-key") if durable else None
@@ -497,7 +498,7 @@
     wait = _number(h, "req-deadline-ms", WHOLE)
     hint = _number(h, "req-cost", DECIMAL)
     more = extras(h.get("req-extra", ""))
-    return Flow(
+    return Request(
         cls,
         unique,
         message.target,
--- a/eiderpin/net/gearman_front.py
+++ b/eiderpin/net/gearman_front.py
@@ -1,4 +1,4 @@
-"""The Gearman front: Gearman clients' jobs become flows, Gearman workers become service entries.
+"""The Gearman front: Gearman clients' jobs become requests, Gearman workers become service entries.
 
 A function is a class. Where it maps what Gearman has no word for:
 
@@ -18,11 +18,11 @@
 
 from eiderpin import VERSION
 from eiderpin import interface as api
-from eiderpin.core.attempts import Attempt, ServiceEntry
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.durability import OtherJob
-from eiderpin.core.flows import Answer, Flow, SlotTable, Verdict
+from eiderpin.core.requests import Answer, Attempt, Request, ServiceEntry, Verdict
+from eiderpin.core.slot_table import SlotTable
 from eiderpin.net.gearman import Kind, Line, Packet, Reader, pack
 from eiderpin.net.loop import Connection, Listener, Loop
 
@@ -44,25 +44,25 @@
 
 
 class Submission:
-    """One client connection's wait for one flow."""
+    """One client connection's wait for one request."""
 
-    __slots__ = ("client", "flow", "handle", "early")
+    __slots__ = ("client", "request", "handle", "early")
 
     def __init__(self, client: GearmanConnection) -> None:
         self.client = client
-        self.flow: Flow | None = None
+        self.request: Request | None = None
         self.handle = b""
         self.early: Answer | None = None  # given before JOB_CREATED could be written
 
-    def created(self, flow: Flow, handle: bytes) -> None:
-        self.flow, self.handle = flow, handle
+    def created(self, request: Request, handle: bytes) -> None:
+        self.request, self.handle = request, handle
         self.client.put(Kind.JOB_CREATED, handle)
         if self.early is not None:
-            self.answer(flow, self.early)
+            self.answer(request, self.early)
         else:
             self.client.open.add(self)
 
-    def answer(self, flow: Flow, answer: Answer) -> None:
+    def answer(self, request: Request, answer: Answer) -> None:
         if not self.handle:
             self.early = answer
             return
@@ -75,11 +75,11 @@
             self.client.put(Kind.WORK_EXCEPTION, self.handle, f"turned down{wait}".encode())
         self.client.put(Kind.WORK_FAIL, self.handle)
 
-    def progress(self, flow: Flow, share: float) -> None:
+    def progress(self, request: Request, share: float) -> None:
         if self.handle:
             self.client.put(Kind.WORK_STATUS, self.handle, b"%d" % round(share * 100), b"100")
 
-    def data_part(self, flow: Flow, data: bytes, warning: bool) -> None:
+    def data_part(self, request: Request, data: bytes, warning: bool) -> None:
         if self.handle:
             self.client.put(Kind.WORK_WARNING if warning else Kind.WORK_DATA, self.handle, data)
 
@@ -132,8 +132,8 @@
         """The peer has gone: what it waited for is left, what it had is lost."""
         self.conn.on_end = _nothing
         for submission in list(self.open):
-            if submission.flow is not None:
-                self.core.detach(submission.flow, submission)
+            if submission.request is not None:
+                self.core.detach(submission.request, submission)
         self.open.clear()
         for attempt in list(self.placed):
             self.drop_wait(attempt)
@@ -157,11 +157,11 @@
         elif kind is Kind.ECHO_REQ:
             self.put(Kind.ECHO_RES, args[0])
         elif kind is Kind.GET_STATUS:
-            self.put(Kind.STATUS_RES, args[0], *self.front.status_of(self.front.flow_of(args[0])))
+            self.put(Kind.STATUS_RES, args[0], *self.front.status_of(self.front.request_of(args[0])))
         elif kind is Kind.GET_STATUS_UNIQUE:
-            flow = self.core.flow_by_unique(_text(args[0]))
-            known, running, done, of = self.front.status_of(flow)
-            waiting = len(flow.waiters) if flow is not None else 0
+            request = self.core.request_by_unique(_text(args[0]))
+            known, running, done, of = self.front.status_of(request)
+            waiting = len(request.waiters) if request is not None else 0
             self.put(Kind.STATUS_RES_UNIQUE, args[0], known, running, done, of, b"%d" % waiting)
         elif kind is Kind.OPTION_REQ:
             if args[0] == b"exceptions":
@@ -206,13 +206,13 @@
         if unique == b"-":
             name = "data-" + hashlib.sha1(function + b"\0" + body).hexdigest()
         priority, background = SUBMITS[kind]
-        flow = Flow(
+        request = Request(
             cls, name, b"/" + function, body, self.core.clock.now() + spec.deadline,
             priority=priority, background=background,
         )  # fmt: skip
         submission = Submission(self)
         try:
-            joined = self.core.submit(flow, None if background else submission)
+            joined = self.core.submit(request, None if background else submission)
         except OtherJob:
             self.error("OTHER_JOB", f"the unique id {name!r} is that of a job that asked for something else")
             return
@@ -222,7 +222,7 @@
         elif joined.job and self.core.keeper is not None:
             # That a job has been taken on is said once it outlives us.
             self.core.keeper.when_kept(joined, self.say_later(lambda: self.put(Kind.JOB_CREATED, handle)))
-        elif self.core.is_durable(cls) and not joined.job and flow is joined:
+        elif self.core.is_durable(cls) and not joined.job and request is joined:
             self.say_in_turn(self.not_taken)
         else:
             self.say_in_turn(lambda: self.put(Kind.JOB_CREATED, handle))
@@ -263,7 +263,7 @@
         """What was placed but not grabbed goes back at once: a drain's grace need not be used up."""
         for function in functions:
             self.abilities.pop(function, None)
-        for attempt in [s for s in self.placed if s.flow.cls not in self.abilities]:
+        for attempt in [s for s in self.placed if s.request.cls not in self.abilities]:
             self.placed.remove(attempt)
             self.drop_wait(attempt)
             self.core.ended(attempt, api.Outcome.NOT_SENT)
@@ -313,14 +313,14 @@
                 # The first byte counts for a drain: its grace has passed while the job waited here.
                 self.core.ended(attempt, api.Outcome.NOT_SENT)
                 continue
-            flow = attempt.flow
-            handle = b"%s.%d" % (self.front.handle_of(flow), attempt.number)
+            request = attempt.request
+            handle = b"%s.%d" % (self.front.handle_of(request), attempt.number)
             self.running[handle] = attempt
             if with_unique:
-                unique = flow.unique.encode("latin-1", "replace")
-                self.put(Kind.JOB_ASSIGN_UNIQ, handle, flow.cls.encode(), unique, flow.body)
+                unique = request.unique.encode("latin-1", "replace")
+                self.put(Kind.JOB_ASSIGN_UNIQ, handle, request.cls.encode(), unique, request.body)
             else:
-                self.put(Kind.JOB_ASSIGN, handle, flow.cls.encode(), flow.body)
+                self.put(Kind.JOB_ASSIGN, handle, request.cls.encode(), request.body)
             if not attempt.ended:  # else the connection broke under the write
                 self.core.written(attempt)
                 self.core.progress(attempt, True)
@@ -330,7 +330,7 @@
 
     def limit_run(self, handle: bytes, attempt: Attempt) -> None:
         """A worker may give a time-out with its function (CAN_DO_TIMEOUT)."""
-        limit = self.abilities.get(attempt.flow.cls, 0.0)
+        limit = self.abilities.get(attempt.request.cls, 0.0)
         if limit:
             at = self.core.clock.now() + limit
             self.waits[attempt] = self.core.deadlines.set(at, lambda: self.overran(handle))
@@ -350,7 +350,7 @@
         if kind is not Kind.WORK_COMPLETE:
             self.core.ended(attempt, api.Outcome.ERROR)
         elif attempt.ended:
-            self.core.late_result(attempt.flow, args[1])
+            self.core.late_result(attempt.request, args[1])
         else:
             self.core.ended(attempt, api.Outcome.DONE, args[1])
 
@@ -445,27 +445,27 @@
 
     # -- handles, status and the text protocol
 
-    def handle_of(self, flow: Flow) -> bytes:
-        """A flow's handle; one that ended at once, with a kept result, gets one of its own."""
-        if flow.id < 0:
+    def handle_of(self, request: Request) -> bytes:
+        """A request's handle; one that ended at once, with a kept result, gets one of its own."""
+        if request.id < 0:
             self._kept += 1
             return f"H:{self.name}:k{self._kept}".encode()
-        return f"H:{self.name}:{flow.id}".encode()
+        return f"H:{self.name}:{request.id}".encode()
 
-    def flow_of(self, handle: bytes) -> Flow | None:
+    def request_of(self, handle: bytes) -> Request | None:
         start = f"H:{self.name}:".encode()
         number = handle[len(start) :]
-        flow = None
+        request = None
         if handle.startswith(start) and number.isdigit() and len(number) < 11:
-            flow = self.core.flows.get(int(number))
-        return flow if flow is not None and not flow.ended else None
+            request = self.core.requests.get(int(number))
+        return request if request is not None and not request.ended else None
 
-    def status_of(self, flow: Flow | None) -> tuple[bytes, bytes, bytes, bytes]:
+    def status_of(self, request: Request | None) -> tuple[bytes, bytes, bytes, bytes]:
         """Known, running, and the share done as a fraction."""
-        if flow is None or flow.ended:
+        if request is None or request.ended:
             return b"0", b"0", b"0", b"0"
-        running = any(s.accepted and not s.ended for s in flow.attempts)
-        return b"1", b"%d" % running, b"%d" % round(flow.share * 100), b"100"
+        running = any(s.accepted and not s.ended for s in request.attempts)
+        return b"1", b"%d" % running, b"%d" % round(request.share * 100), b"100"
 
     def admin(self, line: str) -> bytes:
         if line == "version":
@@ -480,9 +480,9 @@
 
     def _status_lines(self) -> list[str]:
         lines = []
-        flows = [f for f in self.core.flows.all() if not f.ended]
+        requests = [f for f in self.core.requests.all() if not f.ended]
         for cls in self.core.classes:
-            of_class = [f for f in flows if f.cls == cls]
+            of_class = [f for f in requests if f.cls == cls]
             running = sum(any(s.accepted and not s.ended for s in f.attempts) for f in of_class)
             able = [e for e in self.core.entries.values() if e.in_service]
             workers = sum(e.listed.classes is None or cls in e.listed.classes for e in able)
--- a/eiderpin/net/handover.py
+++ b/eiderpin/net/handover.py
@@ -34,8 +34,8 @@
 from eiderpin.core import learned as carried
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher
-from eiderpin.core.flows import Flow
 from eiderpin.core.moves import Moved, Waits, adopt, asked_by, hand_out
+from eiderpin.core.requests import Request
 from eiderpin.net.edge import Edge, EdgeConnection
 from eiderpin.net.loop import Connection, Listener, Loop
 
@@ -75,7 +75,9 @@
         self.limit = self.loop.deadlines.set(self.loop.clock.now() + HELLO_WITHIN, self.end)
         self.look: Deadline | None = None
         conn.on_data, conn.on_end, conn.receive = self.data, self.end, self.receive
-        self.put({"hello": 1, "ids": [f.unique for f in handover.core.flows.all() if not f.ended][:MOST_IDS]})
+        self.put(
+            {"hello": 1, "ids": [f.unique for f in handover.core.requests.all() if not f.ended][:MOST_IDS]}
+        )
 
     def put(self, message: dict[str, Any]) -> None:
         self.conn.write(orjson.dumps(message) + b"\n")
@@ -222,7 +224,7 @@
         """Give it up; None: not now."""
         ...
 
-    def wait_for(self, flow: Flow, edge: EdgeConnection) -> None: ...
+    def wait_for(self, request: Request, edge: EdgeConnection) -> None: ...
 
     def keep_early(self, news: dict[str, Any], reply: Reply) -> bool:
         """Whether this call-back waits until its jobs have been taken up."""
@@ -350,11 +352,11 @@
         """Hand our successor the jobs that can go to it."""
         if not self.handed_over or not self.gives() or self.newer is None:
             return
-        for flow in self.core.flows.all():
-            edge = self.edge.movable(flow)
-            if edge is None or flow.wire_id in self.stay:
+        for request in self.core.requests.all():
+            edge = self.edge.movable(request)
+            if edge is None or request.wire_id in self.stay:
                 continue
-            moved = hand_out(self.core, flow)
+            moved = hand_out(self.core, request)
             if moved is None:
                 continue
             edge.hold(None)
@@ -402,11 +404,11 @@
         """Take in a job that the other hands us, or our own again."""
         edge = self.edge.adopt(sock)
         try:
-            flow = adopt(self.core, Moved(**said), edge)
+            request = adopt(self.core, Moved(**said), edge)
         except (ValueError, TypeError, AttributeError):
             edge.conn.close()  # our descriptor alone: the other holds its own
             return False
-        edge.hold(flow)
+        edge.hold(request)
         self.edge.may_hold(edge)
         return True
 
--- a/eiderpin/net/loop.py
+++ b/eiderpin/net/loop.py
@@ -12,8 +12,8 @@
 
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Clock, Deadline, Deadlines
-from eiderpin.core.flows import SlotTable
 from eiderpin.core.invariants import must
+from eiderpin.core.slot_table import SlotTable
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 CHUNK = 65536
@@ -349,7 +349,7 @@
 
 def guarded(call: Callable[[], object], hook: object = None) -> None:
     """A fault of ours on one connection must not end the service of all: in a release build it is told and
-    counted, the connection is closed, and each flow still has its deadline."""
+    counted, the connection is closed, and each request still has its deadline."""
     try:
         call()
     except Exception as error:
--- a/eiderpin/net/static_list.py
+++ b/eiderpin/net/static_list.py
@@ -5,8 +5,8 @@
 from typing import Any
 
 from eiderpin import interface as api
-from eiderpin.core.attempts import Attempt, ServiceEntry
 from eiderpin.core.dispatcher import Dispatcher
+from eiderpin.core.requests import Attempt, ServiceEntry
 from eiderpin.net.discovery import address
 from eiderpin.net.workers import HttpWorkers
 
--- a/eiderpin/net/workers.py
+++ b/eiderpin/net/workers.py
@@ -11,9 +11,9 @@
 import orjson
 
 from eiderpin import interface as api
-from eiderpin.core.attempts import Attempt, ServiceEntry
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher
+from eiderpin.core.requests import Attempt, ServiceEntry
 from eiderpin.net import http, reports
 from eiderpin.net.loop import Connection, Loop
 
@@ -40,14 +40,14 @@
 class WorkerConnection:
     """One connection to a worker; it carries one exchange at a time."""
 
-    __slots__ = ("workers", "entry", "address", "conn", "reader", "attempt", "request", "deadline",
+    __slots__ = ("workers", "entry", "address", "conn", "reader", "attempt", "payload", "deadline",
                  "probe_at", "life", "rested_at", "stood", "begun_at")  # fmt: skip
 
     def __init__(self, workers: HttpWorkers, entry: ServiceEntry, conn: Connection) -> None:
         self.workers, self.entry, self.address, self.conn = workers, entry, entry.address, conn
         self.reader = http.ResponseReader()
         self.attempt: Attempt | None = None
-        self.request = b""
+        self.payload = b""
         self.probe_at: float | None = None
         self.life = Life.CONNECTING
         self.deadline: Deadline | None = None
@@ -55,11 +55,11 @@
         self.stood = 0.0  # ms for which it stood idle before this exchange
         conn.on_open, conn.on_data, conn.on_end = self.opened, self.data, self.ended
 
-    def begin(self, request: bytes, attempt: Attempt | None) -> None:
+    def begin(self, payload: bytes, attempt: Attempt | None) -> None:
         """Take one exchange on, a call's request or an attempt; it is written once the connection is up."""
         self.begun_at = self.workers.loop.clock.now()
         self.stood = self.begun_at - self.rested_at if self.rested_at else 0.0
-        self.request, self.attempt = request, attempt
+        self.payload, self.attempt = payload, attempt
         if attempt is not None:
             attempt.handle = self
         if self.conn.connecting:
@@ -87,9 +87,9 @@
             self.free(True)
             return
         if attempt is not None:
-            self.request = self.workers.job(attempt)
+            self.payload = self.workers.job(attempt)
         self.conn.on_flushed = self.flushed
-        self.conn.write(self.request)
+        self.conn.write(self.payload)
 
     def flushed(self) -> None:
         if self.life is not Life.SENDING:
@@ -217,7 +217,7 @@
     def send(self, attempt: Attempt) -> None:
         # What lies between may have forgotten a connection that stood idle, and the reset that a write to it
         # brings would be the end of a job that must not run twice. A new connection costs far less.
-        once = self.core.classes[attempt.flow.cls].repeat is not api.Repeat.FREE
+        once = self.core.classes[attempt.request.cls].repeat is not api.Repeat.FREE
         connection = self._connection(attempt.entry, SURE_IDLE if once else self.trust())
         if connection is None:
             self.core.ended(attempt, api.Outcome.NOT_SENT)  # for want of a descriptor of our own
@@ -226,14 +226,14 @@
 
     def job(self, attempt: Attempt) -> bytes:
         """The request, as it is written now."""
-        flow = attempt.flow
+        request = attempt.request
         left = max(1, int(attempt.made_at + attempt.timeout - self.core.clock.now()))
         headers: tuple[str, ...] = (
-            f"Host: {self.host}", f"Req-Id: {flow.wire_id}", f"Req-Deadline-Ms: {left}",
+            f"Host: {self.host}", f"Req-Id: {request.wire_id}", f"Req-Deadline-Ms: {left}",
         )  # fmt: skip
-        if flow.idempotency_key is not None:
-            headers += (f"Idempotency-Key: {flow.idempotency_key}",)
-        return http.request("POST", flow.target, headers, flow.body)
+        if request.idempotency_key is not None:
+            headers += (f"Idempotency-Key: {request.idempotency_key}",)
+        return http.request("POST", request.target, headers, request.body)
 
     def cancel(self, attempt: Attempt) -> None:
         connection = attempt.handle
@@ -243,12 +243,12 @@
             return
         if connection is None and not attempt.accepted:
             return  # nothing of it has gone out
-        target = b"/jobs/" + attempt.flow.wire_id.encode()
+        target = b"/jobs/" + attempt.request.wire_id.encode()
         self._call(attempt.entry, http.request("DELETE", target, (f"Host: {self.host}",)), None)
 
     def probe(self, entry: ServiceEntry) -> None:
-        request = http.request("GET", self.probes_at, (f"Host: {self.host}",))
-        if not self._call(entry, request, self.core.clock.now()):
+        payload = http.request("GET", self.probes_at, (f"Host: {self.host}",))
+        if not self._call(entry, payload, self.core.clock.now()):
             self.core.probed(entry, False, 0.0)
 
     def entry_changed(self, entry: ServiceEntry) -> None:
@@ -265,12 +265,12 @@
 
     # -- connections
 
-    def _call(self, entry: ServiceEntry, request: bytes, probe_at: float | None) -> bool:
+    def _call(self, entry: ServiceEntry, payload: bytes, probe_at: float | None) -> bool:
         connection = self._connection(entry, self.trust())
         if connection is None:
             return False
         connection.probe_at = probe_at
-        connection.begin(request, None)
+        connection.begin(payload, None)
         return True
 
     def trust(self) -> float:
@@ -367,18 +367,18 @@
             self.not_ours(said, reply)
 
     def take_news(self, said: Any) -> bool:
-        """Whether it is of a flow that we know. Raises `ValueError` where it makes no sense."""
+        """Whether it is of a request that we know. Raises `ValueError` where it makes no sense."""
         if not isinstance(said, dict) or not all(isinstance(said.get(k), str) for k in ("id", "state")):
             raise ValueError("a call-back names an id and a state")
-        state, flow = said["state"], self.core.flow_of(said["id"])
-        if flow is None:
+        state, request = said["state"], self.core.request_of(said["id"])
+        if request is None:
             keeper, sender = self.core.keeper, str(said.get("from"))
             return keeper is not None and keeper.late(said["id"], sender, state, _result(said))
-        mine = [s for s in flow.attempts if s.entry.name == said.get("from")]
+        mine = [s for s in request.attempts if s.entry.name == said.get("from")]
         attempt = next((s for s in reversed(mine) if not s.ended), None)
         if attempt is None:
             if state == "done" and mine:
-                self.core.late_result(flow, _result(said))
+                self.core.late_result(request, _result(said))
         elif state == "started":
             self.core.progress(attempt, True)
         elif state == "running":
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -355,7 +355,7 @@
         if not self.serving or not any(e.in_service for e in self.core.entries.values()):
             return "down"
         most = min(self.edge.most, self.config.settings.most_held)
-        free = 100 - 100 * len(self.core.flows) // most
+        free = 100 - 100 * len(self.core.requests) // most
         comeback = self.comeback
         if comeback is not None:  # one that comes back asks for less until it knows enough
             free = free * comeback.share(self.clock.now()) // 100
@@ -481,7 +481,7 @@
             return False
         # A job that is half sent is worth the wait, but those who begin one and stay must not keep us.
         halves = self.stopping_since is not None and self.clock.now() < self.stopping_since + HALVES
-        if any(not f.ended for f in self.core.flows.all()) or not self.edge.quiet(halves):
+        if any(not f.ended for f in self.core.requests.all()) or not self.edge.quiet(halves):
             if self.parting_since is not None and self.handed_at is None:
                 self.parting_since = None  # one more has come, and workers must be able to call back
                 self.edge.listener.start()
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -321,7 +321,7 @@
                         (peer.reset if way == "reset" else peer.close)()
                 other = stage.client()
                 other.say(job("time-lookup", "other"))
-                stage.until(lambda s=stage: s.core.flow_of("other"), "the other's job")
+                stage.until(lambda s=stage: s.core.request_of("other"), "the other's job")
                 served(stage, other, "other")
                 for _ in range(60):
                     stage.pass_time(100)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -9,10 +9,10 @@
 from eiderpin import interface as api
 from eiderpin.core import dispatcher as core
 from eiderpin.core import invariants
-from eiderpin.core.attempts import Attempt, ServiceEntry
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Clock, Deadlines
-from eiderpin.core.flows import Answer, Flow, SlotTable, TableFull, Verdict
+from eiderpin.core.requests import Answer, Attempt, Request, ServiceEntry, Verdict
+from eiderpin.core.slot_table import SlotTable, TableFull
 from eiderpin.decide import SLOTS_GUESS
 from eiderpin.decide import Dispatcher as Module
 from eiderpin.net.loop import Connection, Loop
@@ -48,12 +48,12 @@
     def __init__(self) -> None:
         self.got: list[Answer] = []
 
-    def answer(self, flow: Flow, answer: Answer) -> None:
+    def answer(self, request: Request, answer: Answer) -> None:
         self.got.append(answer)
 
-    def progress(self, flow: Flow, share: float) -> None: ...
+    def progress(self, request: Request, share: float) -> None: ...
 
-    def data_part(self, flow: Flow, data: bytes, warning: bool) -> None: ...
+    def data_part(self, request: Request, data: bytes, warning: bool) -> None: ...
 
 
 def entry(name: str, state: api.WorkerState = api.WorkerState.IN_SERVICE) -> api.WorkerEntry:
@@ -88,11 +88,11 @@
             self.core.decide()
         self.clock.at = until
 
-    def submit(self, cls: str, unique: str, wait: float = 5000.0) -> tuple[Flow, Client]:
+    def submit(self, cls: str, unique: str, wait: float = 5000.0) -> tuple[Request, Client]:
         client = Client()
-        flow = self.core.submit(Flow(cls, unique, b"/", b"", self.clock.at + wait), client)
+        request = self.core.submit(Request(cls, unique, b"/", b"", self.clock.at + wait), client)
         self.core.decide()
-        return flow, client
+        return request, client
 
     def test_a_drain_is_looked_at_again_just_before_the_write(self) -> None:
         self.submit("look", "a")
@@ -113,8 +113,8 @@
         self.pass_time(core.KEPT_FOR + 1)
         self.assertEqual(self.submit("post", "a")[1].got, [])
         for i in range(core.KEPT_COUNT + 10):
-            flow = Flow("look", f"n{i}", b"/", b"", 0.0)
-            self.core._keep(flow, Answer(Verdict.SERVED, b"xy"))
+            request = Request("look", f"n{i}", b"/", b"", 0.0)
+            self.core._keep(request, Answer(Verdict.SERVED, b"xy"))
         self.assertEqual(len(self.core._kept), core.KEPT_COUNT)
         self.assertEqual(self.core._kept_bytes, 2 * core.KEPT_COUNT)
 
@@ -151,23 +151,23 @@
         self.assertEqual((len(first.got), len(joined.got)), (1, 1))
 
     def test_a_result_of_a_attempt_that_was_counted_out_still_serves(self) -> None:
-        flow, client = self.submit("look", "a")
+        request, client = self.submit("look", "a")
         self.pass_time(100)
         self.core.ended(self.link.sent[0], api.Outcome.RESET)
         self.core.decide()
         self.pass_time(100)
-        self.core.late_result(flow, b"there after all")
+        self.core.late_result(request, b"there after all")
         self.core.decide()
         self.assertEqual(client.got, [Answer(Verdict.SERVED, b"there after all")])
         self.assertEqual(self.link.cancelled, self.link.sent[1:])
-        self.assertEqual(len(self.core.flows), 0)
+        self.assertEqual(len(self.core.requests), 0)
 
-    def test_every_flow_has_one_answer_in_time_and_leaves_no_trace(self) -> None:
+    def test_every_request_has_one_answer_in_time_and_leaves_no_trace(self) -> None:
         clients = [self.submit(("look", "post")[i % 2], f"u{i}", 900)[1] for i in range(40)]
         self.pass_time(899)
         self.assertEqual({len(c.got) for c in clients}, {1})
         self.pass_time(30_000)
-        self.assertEqual((len(self.core.flows), len(self.core._by_wire), len(self.deadlines)), (0, 0, 0))
+        self.assertEqual((len(self.core.requests), len(self.core._by_wire), len(self.deadlines)), (0, 0, 0))
 
     def test_one_sources_complete_list_leaves_the_others_workers_alone(self) -> None:
         other = Link()
--- a/tests/test_crash.py
+++ b/tests/test_crash.py
@@ -139,7 +139,12 @@
 
 # where it is killed: by what, how often the job then runs in all, and what its client hears
 PLACES: list[tuple[str, str, int, tuple[int, bytes]]] = [
-    ("accept and lease", "JobKeeper.lease = lambda k, s, go: k.when_kept(s.flow, die)", 1, (200, b"ran a1")),
+    (
+        "accept and lease",
+        "JobKeeper.lease = lambda k, s, go: k.when_kept(s.request, die)",
+        1,
+        (200, b"ran a1"),
+    ),
     ("lease and first byte", "HttpWorkers.send = die", 0, (500, b"failed\n")),
     ("last byte and 202", "after(Dispatcher, 'written')", 1, (200, b"ran a1")),
     ("result and its record", "JobKeeper.end = die", 1, (200, b"ran a1")),
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -179,7 +179,7 @@
                     if status == 503:
                         self.assertTrue(0 < float(got[2]["retry-after"]) <= 2.0)
 
-    def test_a_client_that_goes_takes_its_flow_along(self) -> None:
+    def test_a_client_that_goes_takes_its_request_along(self) -> None:
         worker = HttpWorker("h1", never)
         with running([worker]) as (program, _):
             host, port = program.edge.split(":")
@@ -582,7 +582,7 @@
             held = [socket.create_connection((host, int(port)), timeout=20) for _ in range(60)]
             for i, sock in enumerate(held):
                 sock.sendall(b"POST /result-post HTTP/1.1\r\nReq-Id: b%d\r\nContent-Length: 0\r\n\r\n" % i)
-            wait_for(lambda: program.counters().get("in.flows") == 47, "the room to be taken")
+            wait_for(lambda: program.counters().get("in.requests") == 47, "the room to be taken")
             status, _, headers = http_call(program.edge, "POST", "/result-post", Req_Id="x")
             self.assertEqual(status, 503)
             self.assertTrue(0 < float(headers["retry-after"]) <= 2.0)
--- a/tests/test_fleet_discovery.py
+++ b/tests/test_fleet_discovery.py
@@ -15,7 +15,7 @@
 from eiderpin.core import dispatcher as core
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Deadlines
-from eiderpin.core.flows import Flow
+from eiderpin.core.requests import Request
 from eiderpin.net.discovery import Discovery
 from eiderpin.net.loop import Loop
 from tests.test_core import Client, HandClock, Link
@@ -159,7 +159,7 @@
         world = World(1, rate=10.0)
         world.service.silent = True
         only = world.cores[0]
-        only.submit(Flow("look", "j1", b"/look", b"", deadline=world.clock.now() + 3000), Client())
+        only.submit(Request("look", "j1", b"/look", b"", deadline=world.clock.now() + 3000), Client())
         world.run(200)
         link = cast(Link, only.entries["w1"].link)
         self.assertEqual([s.entry.name for s in link.sent], ["w1"])
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -100,7 +100,7 @@
 
 
 class Headers(unittest.TestCase):
-    def test_what_no_flow_is_made_of(self) -> None:
+    def test_what_no_request_is_made_of(self) -> None:
         good = {"req-id": "9b1f03aa5c7e2d41", "req-deadline-ms": "480", "req-cost": "1200.5"}
         cases = [
             {"req-id": ""}, {"req-id": "a/b"}, {"req-id": "a b"}, {"req-id": "a%2F"}, {"req-id": "\xe9"},
@@ -109,10 +109,10 @@
             {"req-deadline-ms": "1_000"}, {"req-deadline-ms": "1e3"}, {"req-deadline-ms": "\xb2"},
             {"req-deadline-ms": "9" * 23}, {"req-cost": "nan"}, {"req-cost": "-1"}, {"req-cost": "lots"},
         ]  # fmt: skip
-        self.assertEqual(edge.make_flow("c", http.Message(headers=good), 1000.0, 9.0).deadline, 1480.0)
+        self.assertEqual(edge.make_request("c", http.Message(headers=good), 1000.0, 9.0).deadline, 1480.0)
         for case in cases:
             with self.subTest(case=case), self.assertRaises(ValueError):
-                edge.make_flow("c", http.Message(headers={**good, **case}), 1000.0, 9.0)
+                edge.make_request("c", http.Message(headers={**good, **case}), 1000.0, 9.0)
 
 
 if __name__ == "__main__":
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -93,7 +93,7 @@
             it.discovery.list("h1", it.keeps.worker.port, lifecycle="Terminating")
             wait_for(lambda: http_call(first.edge, "GET", "/_health")[0] == 503, "the worker's drain")
             post_behind(first, "d1")
-            wait_for(lambda: first.counters().get("in.flows"), "the job to be taken")
+            wait_for(lambda: first.counters().get("in.requests"), "the job to be taken")
             it.kill()
             it.discovery.list("h1", it.keeps.worker.port)
             it.start()
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -130,7 +130,7 @@
                 "result-post": {"succeeded": 1, "declined": 0, "aborted": 1},
             })  # fmt: skip
             self.assertEqual([got[k] for k in ("forwards", "outstanding", "discovered")], [5, 0, 1])
-            # Jobs that wait fill the room; those past it are turned down before there is a flow for them.
+            # Jobs that wait fill the room; those past it are turned down before there is a request for them.
             most = configuration.shares(configuration.read_config(json.dumps(program.said).encode()))[1]
             held = [caller(program.edge) for _ in range(most)]
             for i, sock in enumerate(held):
--- a/tests/test_other_customers.py
+++ b/tests/test_other_customers.py
@@ -123,8 +123,8 @@
                 by_front.say(job("time-lookup", "b"))
                 stage.until(by_front.look, "the front's answer")
                 stage.service.edge.most = room
-                stage.core.flows._limit = len(stage.core.flows._items)
-                stage.core.flows._free.clear()
+                stage.core.requests._limit = len(stage.core.requests._items)
+                stage.core.requests._free.clear()
                 by_core.say(job("time-lookup", "c"))
                 for client in (by_module, by_front, by_core):
                     got = stage.until(client.look, "the answer")
