Keep standbys: learners that have no vote until an operator promotes them

Need: four machines are set aside for control, and every learner that had caught up became a voter, so the fourth made an even number of voters. The members' configuration names standbys, also over lost disks.

--- a/eiderpin/cli/store.py
+++ b/eiderpin/cli/store.py
@@ -85,7 +85,8 @@
             peer = said.get("peers", {}).get(name)
             more = f"  has up to {peer['match']}, {peer['mode']}" if peer else ""
             lead = "  leads" if said.get("leader") == name else ""
-            click.echo(f"{kind[:-1]:10} {name:16} {at or '-'}{lead}{more}")
+            role = "standby" if name in said.get("standbys", ()) else kind[:-1]
+            click.echo(f"{role:10} {name:16} {at or '-'}{lead}{more}")
 
 
 @store.command()
@@ -204,10 +205,22 @@
 @click.argument("name")
 @click.argument("address")
 @click.option("--within", default=30.0, help="s to wait until it votes.")
-def add(doors: str, name: str, address: str, within: float) -> None:
+@click.option("--standby", is_flag=True, help="No vote until it is promoted.")
+def add(doors: str, name: str, address: str, within: float, standby: bool) -> None:
     """Add a member; it votes once it has caught up. Start it with `join` set."""
     with asking(doors, within) as s:
-        _members(s.ask("add", within, name=name, address=address))
+        what = "add-standby" if standby else "add"
+        _members(s.ask(what, within, name=name, address=address))
+
+
+@store.command()
+@door
+@click.argument("name")
+@click.option("--within", default=30.0, help="s to wait until it votes.")
+def promote(doors: str, name: str, within: float) -> None:
+    """Make a standby a voter, once it has caught up: in place of a voter that is lost for good."""
+    with asking(doors, within) as s:
+        _members(s.ask("promote", within, name=name))
 
 
 @store.command()
--- a/eiderpin/store/door.py
+++ b/eiderpin/store/door.py
@@ -63,7 +63,8 @@
             "status": self.status, "get": self.get, "range": self.range, "txn": self.transact,
             "watch": self.watch, "history": self.history, "grant": self.grant, "keep": self.keep,
             "revoke": self.revoke, "open": self.open, "close": self.close, "add": self.order,
-            "remove": self.order, "transfer": self.order, "snapshot": self.snapshot,
+            "add-standby": self.order, "promote": self.order, "remove": self.order, "transfer": self.order,
+            "snapshot": self.snapshot,
         }  # fmt: skip
 
     def call(self, caller: Call, said: bytes) -> None:
@@ -240,7 +241,7 @@
 
     def order(self, caller: Call, asked: dict[str, Any]) -> None:
         name, where = text(asked, "name"), ""
-        if asked["op"] == "add":
+        if asked["op"] in ("add", "add-standby"):
             where = text(asked, "address")
             if not NAME.fullmatch(name):
                 raise BadCall(f"name: {name!r}; up to 64 letters, digits and ._- are expected")
@@ -254,7 +255,7 @@
                 failed(caller, error)
             else:
                 config = self.host.member.raft.log.config
-                succeed(caller, voters=config.voters, learners=config.learners)
+                succeed(caller, voters=config.voters, learners=config.learners, standbys=config.standbys)
 
         now = self.loop.clock.now()
         self.host.member.order(asked["op"], name, where, done, now, self.within(asked))
--- a/eiderpin/store/host.py
+++ b/eiderpin/store/host.py
@@ -228,6 +228,7 @@
             "documents": len(store.documents), "bytes": store.bytes, "leases": len(store.leases),
             "watches": len(self.member.watches), "disk_fails": self.member.failed, "cut_off": self.cut_off,
             "voters": raft.log.config.voters, "learners": raft.log.config.learners,
+            "standbys": raft.log.config.standbys,
             "disk": raft.disk, "disks": raft.log.config.disks, "retired": raft.log.config.retired,
             "generation": self.member.born.generation,
             "waits_for": self.founding.missing() if self.founding is not None else [],
--- a/eiderpin/store/identity.py
+++ b/eiderpin/store/identity.py
@@ -12,6 +12,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from msgspec.structs import replace
+
 from eiderpin.store.messages import Config
 from eiderpin.store.records import Born
 
@@ -41,15 +43,17 @@
         known = config.disks.get(name)
         disks = {**config.disks, name: disk}
         if known is None:
-            return Config(config.voters, config.learners, disks, config.retired)
+            return replace(config, disks=disks)
         if known == disk or heard.get(name, 0) + SILENT > now:
             continue
         address = config.all()[name]
         voters = {n: a for n, a in config.voters.items() if n != name}
         if not voters:
             continue
-        return Config(voters, {**config.learners, name: address}, disks,
-                      [*config.retired, known][-MOST_RETIRED:])  # fmt: skip
+        retired = [*config.retired, known][-MOST_RETIRED:]
+        return replace(
+            config, voters=voters, learners={**config.learners, name: address}, disks=disks, retired=retired
+        )
     return None
 
 
@@ -59,7 +63,8 @@
     there = {**voters, **learners}
     disks = {n: d for n, d in config.disks.items() if n in there}
     gone = [d for n, d in config.disks.items() if n not in there]
-    return Config(voters, learners, disks, [*config.retired, *gone][-MOST_RETIRED:])
+    standbys = [n for n in config.standbys if n in learners]
+    return Config(voters, learners, disks, [*config.retired, *gone][-MOST_RETIRED:], standbys)
 
 
 @dataclass(slots=True)
--- a/eiderpin/store/member.py
+++ b/eiderpin/store/member.py
@@ -12,6 +12,7 @@
 
 import msgspec
 import zstandard
+from msgspec.structs import replace
 
 from eiderpin.durable.frames import Record
 from eiderpin.store import identity, records
@@ -195,8 +196,13 @@
         self, what: str, name: str, address: str, done: Callable[[Exception | None], None], now: float,
         within: float,
     ) -> None:  # fmt: skip
-        """`add` a member at an address, `remove` one, or `transfer` the leader's place to one; at any member.
-        `done` hears when it is so. A new member is a learner until it has caught up, and then a voter."""
+        """Change who the members are, at any member; `done` hears when it is so.
+
+        Args:
+            what: `add` (a member, which is a learner until it has caught up, and then a voter), `add-standby`
+                (a learner that stays one), `promote` (a standby, to a voter), `remove`, or `transfer` (the
+                leader's place).
+        """
         self._context += 1
         self._orders[self._context] = _Order(what, name, done, now + within)
         if self.raft.role is Role.LEADER:
@@ -225,13 +231,21 @@
                 voters = {n: a for n, a in config.voters.items() if n != name}
                 learners = {n: a for n, a in config.learners.items() if n != name}
                 self.raft.change(identity.members(config, voters, learners))
+            elif what == "promote":
+                if name not in config.standbys:
+                    return f"{name!r} is no standby; there are {', '.join(config.standbys) or 'none'}"
+                left = [standby for standby in config.standbys if standby != name]
+                self.raft.change(replace(config, standbys=left))
             elif name in config.all():
                 return f"{name!r} is a member already, at {config.all()[name]}"
             elif address in config.all().values():
                 return f"{address} is the address of another member"
             else:
                 learners = {**config.learners, name: address}
-                self.raft.change(identity.members(config, config.voters, learners))
+                changed = identity.members(config, config.voters, learners)
+                if what == "add-standby":
+                    changed = replace(changed, standbys=[*changed.standbys, name])
+                self.raft.change(changed)
         except NotLeader as error:
             return str(error)
         except Refused as error:
@@ -239,11 +253,11 @@
         return ""
 
     def _promote(self) -> None:
-        """A learner that has caught up becomes a voter."""
+        """A learner that has caught up becomes a voter, unless it is a standby."""
         config, raft = self.raft.log.config, self.raft
         if raft.role is not Role.LEADER or not config.learners or raft.log.config_at > raft.commit:
             return
-        for name in sorted(config.learners):
+        for name in sorted(config.learners.keys() - set(config.standbys)):
             peer = raft.peers[name]
             if peer.match and peer.active and peer.match + CHANGE_ROUND >= raft.log.last:
                 learners = {n: a for n, a in config.learners.items() if n != name}
@@ -273,9 +287,12 @@
                 continue  # what seems done may have been so before
             if order.what == "transfer":
                 done = raft.leader == order.name and raft.role is not Role.CANDIDATE
+            elif order.what == "add-standby":
+                done = order.name in config.standbys
+            elif order.what == "remove":
+                done = order.name not in config.all()
             else:
-                done = (order.name in config.voters) is (order.what == "add")
-                done = done and (order.what == "add" or order.name not in config.learners)
+                done = order.name in config.voters
             if done or gone:
                 del self._orders[context]
                 order.done(None)
--- a/eiderpin/store/messages.py
+++ b/eiderpin/store/messages.py
@@ -27,12 +27,14 @@
 
     A member is its name on its disk: who speaks from another disk than `disks` names has none of what that
     one promised, and counts for nothing. `retired` are disks that have been replaced, the newest last.
+    `standbys` are learners that stay learners until an operator promotes them.
     """
 
     voters: dict[str, str] = {}
     learners: dict[str, str] = {}
     disks: dict[str, str] = {}
     retired: list[str] = []
+    standbys: list[str] = []
 
     def all(self) -> dict[str, str]:
         return {**self.voters, **self.learners}
@@ -160,7 +162,8 @@
 
 
 class Order(_Base, tag=14, frozen=True, array_like=True):
-    """An operator's word, passed on to the leader: `what` is `add`, `remove` or `transfer`."""
+    """An operator's word, passed on to the leader: `what` is `add`, `add-standby`, `promote`,
+    `remove` or `transfer`."""
 
     context: int
     what: str
