Say on every public item of the store and the fleet what it is, and check it

150 modules, classes and functions of `store/` and `fleet/` had no docstring. They have one now, and so has `benchmarks.scale`; a test holds them to it, to which further packages are added as they are touched. No change of behaviour.

--- a/benchmarks/scale/decisions.py
+++ b/benchmarks/scale/decisions.py
@@ -74,6 +74,7 @@
     """One dispatcher of `instances` that share the work evenly."""
 
     def __init__(self, workers: int, instances: int, tenants: int, running: int) -> None:
+        """List the workers, and begin with so many running."""
         self.rng = random.Random(1)
         self.tenants = tenants
         self.settings = settings(instances, tenants)
--- a/benchmarks/scale/fleet.py
+++ b/benchmarks/scale/fleet.py
@@ -29,6 +29,7 @@
     """One process of hollow dispatchers, with a thread that reads what it tells."""
 
     def __init__(self, options: HollowOptions) -> None:
+        """Start the process."""
         self.options = options
         self.applied: dict[str, list[float]] = {}
         self.lags: list[float] = []
@@ -93,6 +94,7 @@
     """
 
     def __init__(self, folder: Path, dispatchers: int, members: int, seed: int, **parts: Any) -> None:
+        """Nothing is started yet."""
         self.cluster = Cluster(folder, members, OBSERVER_LIMIT, **parts)
         self.addresses = {name: address(at, name) for name, at in self.cluster.observer_addresses.items()}
         self.regions = {name: f"region-{n % REGIONS}" for n, name in enumerate(self.addresses)}
--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -50,6 +50,7 @@
     """Counts the bytes of all connections that it opened."""
 
     def __init__(self, clock: Clock, deadlines: Deadlines, counters: Counters) -> None:
+        """Begin at no bytes."""
         super().__init__(clock, deadlines, counters)
         self.received = 0
         self._sent = 0  # over connections that have ended
@@ -82,6 +83,7 @@
     """One hollow dispatcher; implements `ObserverSink`."""
 
     def __init__(self, process: HollowProcess, name: str, region: str) -> None:
+        """Begin to follow."""
         self.process, self.name, self.region = process, name, region
         self.version = 0
         self.outcome = ConfigOutcome.NONE
@@ -143,6 +145,7 @@
     """Many hollow dispatchers on one loop."""
 
     def __init__(self, options: HollowOptions) -> None:
+        """Start all dispatchers, and begin to tell figures."""
         self.options = options
         self.rng = random.Random(options.seed)
         self.clock, self.deadlines, self.counters = Clock(), Deadlines(), Counters()
--- a/benchmarks/scale/link.py
+++ b/benchmarks/scale/link.py
@@ -20,6 +20,7 @@
     """Forwards connections while it is whole."""
 
     def __init__(self, target: int) -> None:
+        """Forward to this port."""
         self.target = target
         self.whole = asyncio.Event()
         self.whole.set()
--- a/eiderpin/fleet/backoff.py
+++ b/eiderpin/fleet/backoff.py
@@ -22,6 +22,7 @@
     """
 
     def __init__(self, rng: random.Random, base: float = BASE, cap: float = CAP) -> None:
+        """Begin with no failure."""
         self.rng, self.base, self.cap = rng, base, cap
         self.failures = 0
 
--- a/eiderpin/fleet/comeback.py
+++ b/eiderpin/fleet/comeback.py
@@ -15,6 +15,8 @@
 
 
 class Stage(Enum):
+    """How far a start has come."""
+
     BLANK = "blank"  # no list of workers has come: what is known is of a former life
     LISTED = "listed"  # the workers are known; orders and configuration are of the member's own disk
     ALONE = "alone"  # so still, and the store has not been heard for long: it is served all the same
@@ -44,6 +46,7 @@
         return before is not Stage.WHOLE and self.stage(now) is Stage.WHOLE
 
     def stage(self, now: float) -> Stage:
+        """How far the start has come by now."""
         if "listed" not in self.at:
             return Stage.BLANK
         if "caught_up" not in self.at:
--- a/eiderpin/fleet/control_plane.py
+++ b/eiderpin/fleet/control_plane.py
@@ -50,6 +50,7 @@
         say: Callable[[str], None],
         warn: Callable[[str], None],
     ) -> None:
+        """Begin to follow; nothing is known before the first copy."""
         self.loop, self.core, self.about, self.listed = loop, core, about, listed
         self.on_fenced, self.say = on_fenced, say
         self.documents = FollowedDocuments(core, counters, take_shared, say, warn)
@@ -144,6 +145,7 @@
     most_line = 1 << 20
 
     def __init__(self, control_plane: ControlPlane) -> None:
+        """Answer for this observer."""
         self.control_plane = control_plane
 
     def call(self, caller: Call, said: bytes) -> None:
--- a/eiderpin/fleet/followed_documents.py
+++ b/eiderpin/fleet/followed_documents.py
@@ -23,6 +23,7 @@
     detail: str = ""
 
     def __str__(self) -> str:
+        """What operators are shown; empty where there is no shared configuration."""
         if self.outcome is ConfigOutcome.NONE:
             return ""
         if self.outcome is ConfigOutcome.REJECTED:
@@ -54,6 +55,7 @@
         say: Callable[[str], None],
         warn: Callable[[str], None],
     ) -> None:
+        """Begin without any override or shared configuration."""
         self.core, self.counters, self.take_shared = core, counters, take_shared
         self.say, self.warn = say, warn
         self.config = AppliedConfig()
--- a/eiderpin/fleet/incarnation.py
+++ b/eiderpin/fleet/incarnation.py
@@ -19,6 +19,8 @@
 
 
 class Standing(Enum):
+    """Whether a process holds its name."""
+
     UNKNOWN = "unknown"  # it has not been claimed yet, or nobody has said so
     HELD = "held"
     FENCED = "fenced"  # another process has our name
@@ -28,6 +30,7 @@
     """`token` is drawn anew by each process; `generation` is the store's."""
 
     def __init__(self, name: str, token: str, generation: int) -> None:
+        """Begin unknown, until `read` and `claim`."""
         self.name, self.token, self.generation = name, token, generation
         self.standing = Standing.UNKNOWN
         self.revision = 0
@@ -39,6 +42,7 @@
 
     @property
     def document(self) -> str:
+        """The name of the document that says which life is the latest."""
         return PREFIX + self.name
 
     def read(self, revision: int) -> None:
@@ -81,6 +85,7 @@
 
 
 def token_of(value: bytes | None) -> str:
+    """The token that an incarnation's document names; empty where it names none."""
     try:
         return str(orjson.loads(value or b"{}").get("token") or "")
     except (orjson.JSONDecodeError, AttributeError):
--- a/eiderpin/fleet/member_choice.py
+++ b/eiderpin/fleet/member_choice.py
@@ -42,6 +42,7 @@
     """
 
     def __init__(self, observer: str, region: str, endpoints: Sequence[Endpoint], rng: random.Random) -> None:
+        """Rank the members; none is avoided yet."""
         self.rng = rng
         self.ranked = sorted(
             endpoints, key=lambda e: (bool(region) and e.region != region, -weight(observer, e.member))
--- a/eiderpin/fleet/observer.py
+++ b/eiderpin/fleet/observer.py
@@ -95,6 +95,7 @@
         say: Callable[[str], None],
         warn: Callable[[str], None],
     ) -> None:
+        """Begin to connect, within a moment that differs between observers."""
         self.loop, self.counters, self.sink, self.say, self.warn = loop, counters, sink, say, warn
         self.subscription, self.rng = subscription, rng
         self.choice = MemberChoice(subscription.name, subscription.region, endpoints, rng)
--- a/eiderpin/fleet/outcomes.py
+++ b/eiderpin/fleet/outcomes.py
@@ -35,6 +35,8 @@
 
 
 class Claim(msgspec.Struct, array_like=True, frozen=True):
+    """What the store holds of a job: who has it under way, or what came of it."""
+
     by: str  # dispatcher and its incarnation
     print: bytes  # of target and body
     verdict: str = ""  # empty: under way
@@ -48,6 +50,7 @@
     def __init__(
         self, host: StoreHost, core: Dispatcher, classes: frozenset[str], keep: float, life: Incarnation
     ) -> None:
+        """Begin without a lease; no job of `classes` is claimed before there is one."""
         self.host, self.core, self.classes, self.keep, self.life = host, core, classes, keep, life
         self.number = 0
         self.claimed: set[int] = set()  # jobs of ours
@@ -58,6 +61,8 @@
     # -- the lease that outcomes go under
 
     def renew_lease(self) -> None:
+        """Get the lease that the outcomes of the next while go under, and do so again after that."""
+
         def done(answer: state.Answer | Exception) -> None:
             good = isinstance(answer, state.Answer) and bool(answer.lease)
             if isinstance(answer, state.Answer) and answer.lease:
@@ -70,11 +75,13 @@
     def submit(
         self, op: state.Operation, done: Callable[[state.Answer | Exception], None], within: float
     ) -> None:
+        """Have a command carried out; `done` gets its answer, or why nobody knows one."""
         member = self.host.member
         member.submit("", member.rng.getrandbits(53), op, done, self.core.clock.now(), within)
 
     @property
     def me(self) -> str:
+        """How our claims name us: name and incarnation."""
         return f"{self.life.name}/{self.life}"
 
     def submit_guarded(
@@ -91,12 +98,15 @@
     # -- what the core asks
 
     def covers_class(self, cls: str) -> bool:
+        """Whether the outcomes of this class are kept."""
         return cls in self.classes
 
     def name_of(self, request: Request) -> str:
+        """The name of a job's document."""
         return f"{PREFIX}{request.cls}/{request.unique}"
 
     def claim_of(self, request: Request) -> Claim | None:
+        """What the store holds of a job; None: nothing."""
         document = self.host.member.store.get(self.name_of(request))
         try:
             return msgspec.msgpack.decode(document.value, type=Claim) if document is not None else None
@@ -109,16 +119,19 @@
         return claim is not None and claim.by == self.me and not claim.verdict
 
     def revision(self, name: str) -> int:
+        """A document's revision as our member has it; 0: there is none."""
         document = self.host.member.store.get(name)
         return document.revision if document is not None else 0
 
     def alive(self, by: str) -> bool:
+        """Whether the process that a claim names is still the one of its name, and live."""
         name, store = by.rpartition("/")[0], self.host.member.store
         document = store.get(incarnation.PREFIX + name)
         latest = document is not None and incarnation.holds(by, self.life.generation, document.revision)
         return latest and store.get(PRESENT + name) is not None
 
     def kept(self, request: Request) -> Answer | None:
+        """A job's kept answer; None: there is none."""
         claim = self.claim_of(request)
         if claim is None:
             return None
@@ -132,9 +145,11 @@
         return None if self.alive(claim.by) else FAILED
 
     def tell_kept(self, request: Request, answer: Answer, tell: Callable[[Answer], None]) -> None:
+        """Give a kept answer; it is in the store already."""
         tell(answer)
 
     def take(self, request: Request) -> bool:
+        """Take a job on; whether it is one whose outcome is kept."""
         claim = self.claim_of(request)
         if self.host.member.failed or (claim is not None and claim.by != self.me):
             return False
@@ -143,6 +158,7 @@
         return True
 
     def when_kept(self, request: Request, call: Callable[[bool], None]) -> None:
+        """Call once the job is claimed (True), or cannot be (False)."""
         call(True)
 
     def lease(self, attempt: Attempt, send: Callable[[], None]) -> None:
@@ -186,6 +202,7 @@
         self.core.turn_down(attempt.request)
 
     def note_unsent(self, name: str) -> None:
+        """Nothing of this job went out: its claim may be given back."""
         self.unsent[name] = None
         while len(self.unsent) > MOST_UNSENT:
             self.unsent.popitem(last=False)
@@ -197,6 +214,7 @@
         """A claim stands until its job's end."""
 
     def end(self, request: Request, answer: Answer, told: bool, tell: Callable[[Answer], None]) -> None:
+        """Keep a job's outcome, then tell its client."""
         if request.job not in self.claimed:
             tell(answer)
             return
@@ -231,6 +249,7 @@
         self.submit(state.Transaction([put]), once, CLAIM_WITHIN)
 
     def late(self, wire_id: str, worker: str, state: str, result: bytes) -> bool:
+        """A result for a job that has ended here; whether it was kept."""
         return False
 
 
--- a/eiderpin/fleet/ownership.py
+++ b/eiderpin/fleet/ownership.py
@@ -37,6 +37,7 @@
         self, loop: Loop, core: Dispatcher, workers: HttpWorkers, options: Options, name: str, shared: bool,
         say: Callable[[str], None], warn: Callable[[str], None],
     ) -> None:  # fmt: skip
+        """Open the ledger, or wait for the process beside us to give it up."""
         self.loop, self.core, self.workers = loop, core, workers
         self.options, self.name, self.shared = options, name, shared
         self.say, self.warn = say, warn
@@ -71,6 +72,7 @@
             self.workers.early = []
 
     def keep_early(self, news: dict[str, Any], reply: Callable[[int], None]) -> bool:
+        """Keep a call-back that comes before the ledger is ours; whether it was kept."""
         return self.workers.keep_early(news, reply)
 
     def offered(self) -> None:
@@ -179,12 +181,15 @@
         return self.keeper is None or self.keeper.recovered
 
     def quiet(self) -> bool:
+        """Whether nothing of the ledger is under way."""
         return not self.waiting and (self.keeper is None or self.keeper.quiet())
 
     def push(self) -> None:
+        """Write what has been appended since the last turn."""
         if self.keeper is not None:
             self.keeper.log.push()
 
     def close(self) -> None:
+        """Give the ledger up."""
         if self.keeper is not None:
             self.keeper.close()
--- a/eiderpin/fleet/shared_state.py
+++ b/eiderpin/fleet/shared_state.py
@@ -38,6 +38,7 @@
         self, host: StoreHost, core: Dispatcher, name: str, about: Callable[[], dict[str, Any]],
         take_shared: Callable[[bytes], list[str]], say: Callable[[str], None], warn: Callable[[str], None],
     ) -> None:  # fmt: skip
+        """Follow the documents, and begin to claim our name."""
         self.host, self.core, self.name, self.about, self.say, self.warn = host, core, name, about, say, warn
         self.documents = FollowedDocuments(core, host.counters, take_shared, say, warn)
         self.live = LiveDispatchers()
@@ -91,6 +92,7 @@
 
     @property
     def fenced(self) -> bool:
+        """Whether another process has our name."""
         return self.life.standing is Standing.FENCED
 
     def our_document(self) -> tuple[bytes | None, int]:
@@ -99,11 +101,13 @@
         return (document.value, document.revision) if document is not None else (None, 0)
 
     def named(self, refused: bool = False) -> None:
+        """The document of our name has changed, or our claim of it was `refused`."""
         value, revision = self.our_document()
         if self.life.heard(value, revision, refused):
             self.tell_fenced()
 
     def tell_fenced(self) -> None:
+        """Say once that another process has our name."""
         self.host.counters.add("store.fenced")
         self.warn(f"store: fenced: another process has begun as {self.name}; this one is to be ended")
         self.on_fenced()
@@ -212,6 +216,7 @@
             self.submit(Keep(self.lease), self.kept)
 
     def stage(self) -> str:
+        """How far our start has come."""
         return self.comeback.stage(self.core.clock.now()).value
 
     def come_back(self) -> None:
@@ -225,10 +230,13 @@
             self.say(f"store: {self.name}/{self.life} is whole: {steps}")
 
     def all_about(self) -> dict[str, Any]:
+        """What others are told of us."""
         about = {**self.about(), "config": str(self.documents.config), "incarnation": str(self.life)}
         return about | {"stage": self.stage(), "took": self.comeback.took()}
 
     def submit(self, op: Operation, done: Callable[[Answer], None]) -> None:
+        """Have one command of ours carried out; nothing follows where nobody knows its answer."""
+
         def answered(answer: Answer | Exception) -> None:
             self.busy = False
             if isinstance(answer, Answer):
@@ -239,11 +247,14 @@
         member.submit("", member.rng.getrandbits(53), op, answered, self.core.clock.now(), WITHIN)
 
     def granted(self, answer: Answer) -> None:
+        """Our lease is there: say that we are live."""
         if answer.lease:
             self.lease = answer.lease
             self.tell(self.all_about())
 
     def tell(self, about: dict[str, Any]) -> None:
+        """Put what others may know of us."""
+
         def done(answer: Answer) -> None:
             if answer.error:
                 self.lease = 0  # it has ended while we were cut off
@@ -255,5 +266,6 @@
             self.submit(self.life.guarded(Transaction([put])), done)
 
     def kept(self, answer: Answer) -> None:
+        """Our lease was renewed, or has ended."""
         if answer.error:
             self.lease, self.told = 0, {}
--- a/eiderpin/fleet/subscription.py
+++ b/eiderpin/fleet/subscription.py
@@ -43,6 +43,7 @@
     """A member's message cannot be taken."""
 
     def __init__(self, violation: Violation, text: str) -> None:
+        """Name the violation, and say in words what is wrong."""
         super().__init__(text)
         self.violation = violation
 
@@ -108,6 +109,7 @@
     """
 
     def __init__(self, cluster: str, name: str, token: str, region: str = "") -> None:
+        """Begin with an empty copy at position (0, 0)."""
         self.cluster, self.name, self.token, self.region = cluster, name, token, region
         self.generation = 0
         self.revision = 0
--- a/eiderpin/store/admission.py
+++ b/eiderpin/store/admission.py
@@ -26,6 +26,7 @@
         burst: float = BURST,
         concurrent: int = CONCURRENT,
     ) -> None:
+        """Begin with a full bucket."""
         self.per_second, self.burst, self.concurrent = per_second, burst, concurrent
         self.waiting: OrderedDict[int, None] = OrderedDict()
         self.running: set[int] = set()
--- a/eiderpin/store/anchor.py
+++ b/eiderpin/store/anchor.py
@@ -14,9 +14,11 @@
     the file system's own, and no program sets both. Each method raises `OSError` as the system does."""
 
     def __init__(self, folder: str) -> None:
+        """The anchor of this directory; it is made when it is first read."""
         self.path = os.path.join(folder, NAME)
 
     def new_disk(self) -> str:
+        """An identity for a disk that has none yet."""
         return secrets.token_hex(8)
 
     def make(self) -> str:
@@ -27,6 +29,7 @@
         return self.read()
 
     def read(self) -> str:
+        """What tells the directory's own file from any copy of it."""
         try:
             found = os.stat(self.path)
         except FileNotFoundError:
--- a/eiderpin/store/asking.py
+++ b/eiderpin/store/asking.py
@@ -19,6 +19,7 @@
     """The store says no; `kind` is one of `door.KINDS`, or `unreachable`."""
 
     def __init__(self, kind: str, error: str) -> None:
+        """`kind` for programs, `error` for people."""
         super().__init__(error)
         self.kind = kind
 
@@ -28,6 +29,7 @@
     one question may take in all."""
 
     def __init__(self, doors: list[str], within: float = 10.0) -> None:
+        """Nothing is sent yet."""
         self.doors, self.within = list(doors), within
         self.client, self.number = "", 0
         self.generation = 0  # of the store that the last watch or snapshot was of; 0: none yet
@@ -61,6 +63,7 @@
         return self.change("txn", puts=[row], compares=compares)
 
     def get(self, name: str, stale: bool = False) -> tuple[bytes, dict[str, Any]]:
+        """A document's value, and its other fields. Raises `Failed` (`absent`)."""
         said = self.ask("get", name=name, stale=stale)["document"]
         return base64.b64decode(said["value"]), said
 
--- a/eiderpin/store/document_digest.py
+++ b/eiderpin/store/document_digest.py
@@ -25,6 +25,7 @@
     """The digest of a set of documents, with the hash of each so that it can be taken out again."""
 
     def __init__(self, documents: Iterable[Document] = ()) -> None:
+        """The digest of these documents."""
         self.value = 0
         self._hashes: dict[str, int] = {}
         for document in documents:
--- a/eiderpin/store/door.py
+++ b/eiderpin/store/door.py
@@ -51,13 +51,17 @@
     most_line = 1 << 20
 
     def call(self, caller: Call, said: bytes) -> None:
+        """Say where to ask."""
         fail(caller, "no-leader", "the process beside this one is the member still: ask at its door")
 
 
 class StoreDoor:
+    """The store's calls at a member's management address."""
+
     most_line = 1 << 20
 
     def __init__(self, host: StoreHost) -> None:
+        """Answer for this member."""
         self.host, self.loop = host, host.loop
         self.calls: dict[str, Callable[[Call, dict[str, Any]], None]] = {
             "status": self.status, "get": self.get, "range": self.range, "txn": self.transact,
@@ -68,6 +72,7 @@
         }  # fmt: skip
 
     def call(self, caller: Call, said: bytes) -> None:
+        """Carry out one line of JSON."""
         try:
             asked: Any = orjson.loads(said)
             if not isinstance(asked, dict):
@@ -83,6 +88,7 @@
             fail(caller, "bad", str(error))
 
     def within(self, asked: dict[str, Any]) -> float:
+        """How long a call may take, in ms. Raises `BadCall`."""
         ms = asked.get("within_ms", WITHIN)
         if isinstance(ms, bool) or not isinstance(ms, int | float) or not 0 < ms <= MOST_WITHIN:
             raise BadCall(f"within_ms: {ms!r}; up to {MOST_WITHIN:g} is expected")
@@ -91,6 +97,7 @@
     # -- reading
 
     def status(self, caller: Call, asked: dict[str, Any]) -> None:
+        """How this member stands."""
         succeed(caller, **self.host.status())
 
     def read(self, caller: Call, asked: dict[str, Any], then: Callable[[], None]) -> None:
@@ -108,6 +115,7 @@
         self.host.member.read(done, self.loop.clock.now(), self.within(asked))
 
     def get(self, caller: Call, asked: dict[str, Any]) -> None:
+        """One document."""
         name = text(asked, "name")
 
         def then() -> None:
@@ -120,6 +128,7 @@
         self.read(caller, asked, then)
 
     def range(self, caller: Call, asked: dict[str, Any]) -> None:
+        """Documents by prefix, as many as fit one line."""
         prefix, after, most = text(asked, "prefix", ""), text(asked, "after", ""), number(asked, "most", 100)
 
         def then() -> None:
@@ -137,6 +146,7 @@
         self.read(caller, asked, then)
 
     def history(self, caller: Call, asked: dict[str, Any]) -> None:
+        """A document's changes that are still remembered."""
         name = text(asked, "name")
 
         def then() -> None:
@@ -200,6 +210,7 @@
     # -- changing
 
     def submit(self, caller: Call, asked: dict[str, Any], op: state.Operation) -> None:
+        """Have a command committed, and give the caller its answer."""
         client = text(asked, "client", "")
         first = number(asked, "number", 0) if client else self.host.member.rng.getrandbits(53)
 
@@ -217,6 +228,7 @@
         self.host.member.submit(client, first, op, done, self.loop.clock.now(), self.within(asked))
 
     def transact(self, caller: Call, asked: dict[str, Any]) -> None:
+        """Some changes at once, if what they expect holds."""
         ops: list[Put | Delete] = []
         for row in rows_of(asked, "puts"):
             ops.append(Put(text(row, "name"), value(row), number(row, "lease", 0)))
@@ -225,21 +237,27 @@
         self.submit(caller, asked, Transaction(ops, compares))
 
     def grant(self, caller: Call, asked: dict[str, Any]) -> None:
+        """A lease."""
         self.submit(caller, asked, Grant(float(number(asked, "ttl_ms"))))
 
     def keep(self, caller: Call, asked: dict[str, Any]) -> None:
+        """Renew a lease."""
         self.submit(caller, asked, Keep(number(asked, "lease")))
 
     def revoke(self, caller: Call, asked: dict[str, Any]) -> None:
+        """End a lease."""
         self.submit(caller, asked, Revoke(number(asked, "lease")))
 
     def open(self, caller: Call, asked: dict[str, Any]) -> None:
+        """Begin a numbered client."""
         self.submit(caller, {**asked, "number": 0}, Open(text(asked, "client")))
 
     def close(self, caller: Call, asked: dict[str, Any]) -> None:
+        """End a numbered client."""
         self.submit(caller, {**asked, "client": ""}, Close(text(asked, "client")))
 
     def order(self, caller: Call, asked: dict[str, Any]) -> None:
+        """Change who the members are."""
         name, where = text(asked, "name"), ""
         if asked["op"] in ("add", "add-standby"):
             where = text(asked, "address")
@@ -265,15 +283,18 @@
 
 
 def succeed(caller: Call, **said: Any) -> None:
+    """Reply that it was done, with these fields."""
     caller.reply(orjson.dumps({"ok": True, **said}).decode())
 
 
 def fail(caller: Call, kind: str, error: str) -> None:
+    """Reply that it was not; `kind` is one of `KINDS`."""
     assert kind in KINDS
     caller.reply(orjson.dumps({"ok": False, "kind": kind, "error": error}).decode())
 
 
 def failed(caller: Call, error: Exception) -> None:
+    """Reply with what an exception says."""
     if isinstance(error, NotLeader):
         fail(caller, "no-leader", f"{error}: nothing has been changed")
     elif isinstance(error, Compacted):
@@ -285,6 +306,7 @@
 
 
 def text(asked: dict[str, Any], field: str, default: str | None = None) -> str:
+    """A field that is text. Raises `BadCall`."""
     said = asked.get(field, default)
     if not isinstance(said, str):
         raise BadCall(f"{field}: {said!r}; text is expected")
@@ -292,6 +314,7 @@
 
 
 def number(asked: dict[str, Any], field: str, default: int | None = None) -> int:
+    """A field that is a whole number. Raises `BadCall`."""
     said = asked.get(field, default)
     if isinstance(said, bool) or not isinstance(said, int) or said < 0:
         raise BadCall(f"{field}: {said!r}; a whole number is expected")
@@ -299,6 +322,7 @@
 
 
 def rows_of(asked: dict[str, Any], field: str) -> list[dict[str, Any]]:
+    """A field that is a list of objects. Raises `BadCall`."""
     rows = asked.get(field) or []
     if not isinstance(rows, list) or not all(isinstance(row, dict) for row in rows):
         raise BadCall(f"{field}: a list of objects is expected")
@@ -306,6 +330,7 @@
 
 
 def value(row: dict[str, Any]) -> bytes:
+    """A row's value, from base64. Raises `BadCall`."""
     try:
         return base64.b64decode(text(row, "value"), validate=True)
     except binascii.Error as error:
@@ -313,6 +338,7 @@
 
 
 def shown(document: Document) -> dict[str, Any]:
+    """A document as JSON shows it."""
     return {
         "name": document.name, "value": base64.b64encode(document.value).decode(),
         "revision": document.revision, "created": document.created, "lease": document.lease,
@@ -320,5 +346,6 @@
 
 
 def told(event: Event) -> dict[str, Any]:
+    """An event as JSON shows it."""
     held = base64.b64encode(event.value).decode() if event.value is not None else None
     return {"revision": event.revision, "name": event.name, "value": held}
--- a/eiderpin/store/framing.py
+++ b/eiderpin/store/framing.py
@@ -28,6 +28,7 @@
     """
 
     def __init__(self, magic: bytes, most_frame: int = MOST_FRAME) -> None:
+        """Begin with nothing received."""
         self.magic = magic
         self.most_frame = most_frame
         self.buffer = bytearray()
--- a/eiderpin/store/host.py
+++ b/eiderpin/store/host.py
@@ -36,9 +36,11 @@
     """Implements `member.Disk` on `eiderpin.durable`."""
 
     def __init__(self, log: Log) -> None:
+        """Write to this log."""
         self.log = log
 
     def append(self, said: list[Record], told: Callable[[bool], None]) -> None:
+        """See `member.Disk`."""
         try:
             for record in said[:-1]:
                 self.log.append(record.kind, record.version, record.body)
@@ -48,6 +50,7 @@
             told(False)
 
     def checkpoint(self, all_of_it: Iterable[Record]) -> None:
+        """See `member.Disk`."""
         # Packed here and now: what it is made from goes on changing.
         self.log.checkpoint(list(all_of_it))
 
@@ -60,6 +63,7 @@
         self, loop: Loop, counters: Counters, options: Options, rng: random.Random,
         say: Callable[[str], None], warn: Callable[[str], None],
     ) -> None:  # fmt: skip
+        """Read the directory, listen, and begin as its member."""
         self.loop, self.counters, self.options, self.say, self.warn = loop, counters, options, say, warn
         restored = Restored()
         self.log = Log(Files(options.folder), restored.apply)
@@ -128,10 +132,12 @@
         return len(EntryLog(restored.snapshot, restored.entries).config.voters) == 1
 
     def send(self, message: Message) -> None:
+        """Give a message to the transport; it may be lost."""
         if self.transport is not None:
             self.transport.send(message)
 
     def hear(self, message: Message) -> None:
+        """A message has come."""
         self.member.hear(message, self.loop.clock.now())
 
     def met(self, config: Config) -> None:
@@ -141,10 +147,12 @@
                                    else config.all())  # fmt: skip
 
     def is_retired(self, name: str, disk: str) -> bool:
+        """Whether another disk has taken the place of this one."""
         config = self.member.raft.log.config
         return disk in config.retired and name in config.all()
 
     def note_replaced(self) -> None:
+        """The others say that another disk has our name."""
         self.replaced = True
 
     def adopt(self, generation: int) -> None:
@@ -175,6 +183,7 @@
                 self.warn(f"store: a cluster begins once all first members are there; waits for {missing}")
 
     def tick(self) -> None:
+        """Let time pass for the member, and do so again."""
         now = self.loop.clock.now()
         self.found(now)
         self.member.tick(now)
@@ -200,6 +209,7 @@
         self.member.flush(self.loop.clock.now())
 
     def look_again(self) -> None:
+        """See whether a disk that failed takes writes again."""
         if self.log.came_back():
             self.say("the store's disk is back")
             self.member.disk_is_back(self.loop.clock.now())
@@ -208,6 +218,7 @@
         self.loop.deadlines.set(self.loop.clock.now() + TRY_AGAIN, self.look_again)
 
     def push(self) -> None:
+        """Write what has been appended since the last turn."""
         self.log.push()
 
     @property
@@ -216,6 +227,7 @@
         return self.loop.clock.now() > self.member.heard_at + CUT_OFF
 
     def status(self) -> dict[str, object]:
+        """How the member stands, for operators."""
         raft, store = self.member.raft, self.member.store
         peers = {
             name: {"match": p.match, "mode": p.mode.value, "active": p.active}
--- a/eiderpin/store/identity.py
+++ b/eiderpin/store/identity.py
@@ -86,6 +86,7 @@
             self.there_is_one = self.there_is_one or has_log
 
     def missing(self) -> list[str]:
+        """First members that have not been met yet."""
         return sorted(set(self.members) - set(self.met) - {self.name})
 
     def config(self) -> Config | None:
--- a/eiderpin/store/in_force.py
+++ b/eiderpin/store/in_force.py
@@ -71,6 +71,7 @@
     """The reports of one member's observers."""
 
     def __init__(self) -> None:
+        """Begin without observers or a version."""
         self.version = 0
         self.changed = False  # since `summary` was asked for last
         self._current_at = 0.0  # when the version became current here
--- a/eiderpin/store/log.py
+++ b/eiderpin/store/log.py
@@ -15,6 +15,7 @@
     """Indexes begin with 1; `base` is the last that is in the snapshot only, and `base_term` its term."""
 
     def __init__(self, snapshot: Snapshot, entries: Sequence[Entry] = ()) -> None:
+        """What a disk holds."""
         self.snapshot = snapshot
         self.base, self.base_term = snapshot.index, snapshot.term
         self.entries: list[Entry] = []
@@ -23,10 +24,12 @@
 
     @property
     def last(self) -> int:
+        """The index of the last entry."""
         return self.base + len(self.entries)
 
     @property
     def last_term(self) -> int:
+        """The term of the last entry."""
         return self.entries[-1].term if self.entries else self.base_term
 
     @property
@@ -36,6 +39,7 @@
 
     @property
     def config_at(self) -> int:
+        """The index of the last change of members."""
         return self.configs[-1][0]
 
     def term(self, index: int) -> int | None:
@@ -74,6 +78,7 @@
             self.configs.pop()
 
     def match(self, prev: int, prev_term: int) -> bool:
+        """Whether there is an entry of this term at this index."""
         return self.term(prev) == prev_term
 
     def merge(self, entries: Sequence[Entry]) -> int | None:
@@ -103,6 +108,7 @@
         return (last_term, last_index) >= (self.last_term, self.last)
 
     def config_as_of(self, index: int) -> Config:
+        """Who the members are after the entry of this index."""
         return next(config for at, config in reversed(self.configs) if at <= index)
 
     def compact(self, snapshot: Snapshot, keep: int) -> None:
--- a/eiderpin/store/member.py
+++ b/eiderpin/store/member.py
@@ -43,7 +43,9 @@
 class Disk(Protocol):
     """A log on disk. `told` is called later, in order, with whether it is there."""
 
-    def append(self, said: list[Record], told: Callable[[bool], None]) -> None: ...
+    def append(self, said: list[Record], told: Callable[[bool], None]) -> None:
+        """Write these records, in order, and tell whether they are there."""
+        ...
 
     def checkpoint(self, all_of_it: Iterable[Record]) -> None:
         """What stands for all that was appended so far; what is appended later comes after it."""
@@ -109,6 +111,7 @@
         now: float, raft: type[Raft] = Raft, snapshot_every: int = SNAPSHOT_EVERY, trailing: int = TRAILING,
         history: int = 10_000,
     ) -> None:  # fmt: skip
+        """Begin from what the disk holds."""
         self.born, self.disk, self.send, self.rng = born, disk, send, rng
         self.snapshot_every, self.trailing, self.history = snapshot_every, trailing, history
         snapshot = restored.snapshot
@@ -174,6 +177,7 @@
         self.flush(now)
 
     def hear(self, message: Message, now: float) -> None:
+        """A message from another member has come."""
         if self.failed:
             return  # we could keep nothing of it
         if isinstance(message, Order):
@@ -370,6 +374,7 @@
         return watch
 
     def unwatch(self, watch: Watch) -> None:
+        """Tell it nothing more."""
         if watch in self.watches:
             self.watches.remove(watch)
 
--- a/eiderpin/store/messages.py
+++ b/eiderpin/store/messages.py
@@ -10,12 +10,16 @@
 
 
 class EntryKind(IntEnum):
+    """What an entry of the log is for."""
+
     EMPTY = 0  # a leader's first of its term
     COMMAND = 1  # for the state machine
     CONFIG = 2  # a `Config`, packed
 
 
 class Entry(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """One entry of the log."""
+
     index: int
     term: int
     kind: int
@@ -37,9 +41,11 @@
     standbys: list[str] = []
 
     def all(self) -> dict[str, str]:
+        """Voters and learners: names to addresses."""
         return {**self.voters, **self.learners}
 
     def pack(self) -> bytes:
+        """The configuration as an entry holds it."""
         return msgspec.msgpack.encode(self)
 
 
@@ -76,12 +82,16 @@
 
 
 class Voted(_Base, tag=2, frozen=True, array_like=True):
+    """The answer to `Ask`."""
+
     granted: bool
     pre: bool = False
     disk: str = ""
 
 
 class Append(_Base, tag=3, frozen=True, array_like=True):
+    """Entries after `prev`; the receiver has to hold `prev` with its term."""
+
     prev: int
     prev_term: int
     entries: list[Entry]
@@ -109,6 +119,8 @@
 
 
 class BeatBack(_Base, tag=6, frozen=True, array_like=True):
+    """The answer to `Beat`."""
+
     round: int
     disk: str = ""
 
@@ -143,6 +155,8 @@
 
 
 class ReadAsk(_Base, tag=11, frozen=True, array_like=True):
+    """A follower asks what a read has to cover."""
+
     context: int
 
 
--- a/eiderpin/store/observer_protocol.py
+++ b/eiderpin/store/observer_protocol.py
@@ -97,6 +97,8 @@
 
 
 class Pong(_Message, tag=3, array_like=True, frozen=True):
+    """The answer to the ping of this number."""
+
     number: int
 
 
--- a/eiderpin/store/observer_registry.py
+++ b/eiderpin/store/observer_registry.py
@@ -45,6 +45,7 @@
     """
 
     def __init__(self, member: str) -> None:
+        """Begin without observers."""
         self.member = member
         self.served = ServedObservers()
         self.counts = InForceCounts()
--- a/eiderpin/store/observer_sessions.py
+++ b/eiderpin/store/observer_sessions.py
@@ -115,6 +115,7 @@
         now: float,
         most: int = MOST_OBSERVERS,
     ) -> None:
+        """Begin without sessions, at the present revision."""
         self.cluster, self.generation, self.member = cluster, generation, member
         self.store, self.most = store, most
         self.admission = SnapshotAdmission(now)
--- a/eiderpin/store/orders.py
+++ b/eiderpin/store/orders.py
@@ -23,6 +23,7 @@
     why: str = ""
 
     def pack(self) -> bytes:
+        """The value of the order's document."""
         return orjson.dumps({"cordon": self.cordon, "slots": self.slots, "why": self.why})
 
 
@@ -53,6 +54,7 @@
     """Implements `core.dispatcher.WorkerOrders`."""
 
     def __init__(self) -> None:
+        """Begin without orders."""
         self.orders: dict[str, Order] = {}
 
     def take(self, name: str, order: Order | None) -> bool:
--- a/eiderpin/store/presence.py
+++ b/eiderpin/store/presence.py
@@ -69,6 +69,7 @@
     """All members' documents, folded into one entry a name."""
 
     def __init__(self) -> None:
+        """Begin without documents."""
         self._documents: dict[str, list[LiveObserver]] = {}
         self.observers: dict[str, LiveObserver] = {}
 
@@ -103,6 +104,7 @@
     """
 
     def __init__(self, lease: float = OBSERVER_LEASE) -> None:
+        """Begin without observers."""
         self.lease = lease
         self.changed = False  # since `entries` was asked for last
         self._served: dict[str, _Served] = {}
@@ -165,6 +167,7 @@
     """Who is live, of members and observers; each dispatcher is numbered by its place among the names."""
 
     def __init__(self) -> None:
+        """Begin with nobody."""
         self.members: set[str] = set()
         self._observers: dict[str, set[str]] = {}  # by the member that announces them
         self._position: dict[str, int] | None = None
--- a/eiderpin/store/progress.py
+++ b/eiderpin/store/progress.py
@@ -11,6 +11,8 @@
 
 
 class Mode(Enum):
+    """How a leader sends to a member."""
+
     PROBE = "probe"  # where its log matches ours is not known: one message at a time
     STREAM = "stream"  # it takes what we send: many at a time
     SNAPSHOT = "snapshot"  # what it needs next is in our snapshot only
@@ -18,6 +20,8 @@
 
 @dataclass(slots=True)
 class Progress:
+    """What a leader knows of one member."""
+
     match: int = 0  # known to be on its disk
     next: int = 1  # to be sent
     mode: Mode = Mode.PROBE
@@ -32,11 +36,13 @@
 
     @property
     def may_send(self) -> bool:
+        """Whether more entries may be on their way to it."""
         if self.mode is Mode.STREAM:
             return len(self.flying) < MOST_FLYING and sum(b for _, b in self.flying) < MOST_FLYING_BYTES
         return not self.paused
 
     def sent(self, last: int, size: int) -> None:
+        """Entries up to `last`, of `size` bytes, are on their way."""
         if self.mode is Mode.STREAM:
             self.next = last + 1
             self.flying.append((last, size))
@@ -61,15 +67,18 @@
         self.probe(min(prev, hint + 1))
 
     def probe(self, at: int) -> None:
+        """Try one message from entry `at` on, until it is known what matches."""
         self.mode, self.next, self.paused = Mode.PROBE, max(at, self.match + 1), False
         self.flying.clear()
 
     def need_snapshot(self, index: int) -> None:
+        """It lacks what the log no longer has: send the snapshot of `index`."""
         if self.mode is not Mode.SNAPSHOT or self.snapshot != index:
             self.mode, self.snapshot, self.offset, self.paused = Mode.SNAPSHOT, index, 0, False
             self.flying.clear()
 
     def beat(self, round_: int) -> None:
+        """A beat of this round goes out to it: what was sent before it is to be acknowledged by its answer."""
         if self.mark is None and self.flying:
             self.mark = (round_, self.flying[-1][0])
 
--- a/eiderpin/store/raft.py
+++ b/eiderpin/store/raft.py
@@ -45,6 +45,8 @@
 
 
 class Role(Enum):
+    """What a member is in its term."""
+
     FOLLOWER = "follower"
     ASKING = "asking"  # a pre-vote is under way (9.6)
     CANDIDATE = "candidate"
@@ -55,6 +57,7 @@
     """It leads no more, never did or can't now (`why`); `leader` is the one to ask, empty: none is known."""
 
     def __init__(self, leader: str, why: str = "") -> None:
+        """`leader`: who may know better; empty: nobody does."""
         super().__init__(why or (f"the leader is {leader}" if leader else "there is no leader now"))
         self.leader = leader
 
@@ -79,6 +82,7 @@
 
     @property
     def persists(self) -> bool:
+        """Whether something has to be on disk before the rest."""
         return self.hard is not None or bool(self.entries) or self.snapshot is not None
 
 
@@ -92,6 +96,7 @@
         self, name: str, hard: Hard, snapshot: Snapshot, entries: Sequence[Entry], rng: random.Random,
         disk: str = "",
     ) -> None:  # fmt: skip
+        """Begin as a follower, from what the disk holds."""
         self.name, self.rng, self.disk = name, rng, disk
         self.term, self.vote = hard.term, hard.vote
         self.log = EntryLog(snapshot, entries)
@@ -122,6 +127,7 @@
     # -- what the caller says
 
     def tick(self) -> None:
+        """Let one tick pass."""
         self.ticks += 1
         self.elapsed += 1
         if self.role is Role.LEADER:
@@ -240,6 +246,7 @@
             self.log.compact(snapshot, keep)
 
     def out(self) -> Out:
+        """What is to be done now; asked for once, it is not given again."""
         if self.beat_due and self.role is Role.LEADER:
             self._beat()
         found, self._out = self._out, Out()
--- a/eiderpin/store/records.py
+++ b/eiderpin/store/records.py
@@ -30,6 +30,8 @@
 
 
 class SnapHead(msgspec.Struct, array_like=True, frozen=True):
+    """What a snapshot is of, and how many bytes follow."""
+
     index: int
     term: int
     config: Config
@@ -37,6 +39,8 @@
 
 
 class SnapPart(msgspec.Struct, array_like=True, frozen=True):
+    """Some bytes of a snapshot."""
+
     data: bytes
 
 
@@ -48,6 +52,7 @@
 
 
 def pack(said: Born | Hard | Entry | SnapHead | SnapPart) -> Record:
+    """A record as the log takes it."""
     return Record(_NUMBERS[type(said)], VERSION, msgspec.msgpack.encode(said))
 
 
--- a/eiderpin/store/state.py
+++ b/eiderpin/store/state.py
@@ -34,6 +34,7 @@
     """Events before `oldest` are forgotten: read the documents anew and watch from there."""
 
     def __init__(self, oldest: int) -> None:
+        """`oldest`: the first revision that is still here."""
         super().__init__(f"events before revision {oldest} are forgotten")
         self.oldest = oldest
 
@@ -43,12 +44,16 @@
 
 
 class Put(_Record, tag=1, array_like=True, frozen=True):
+    """Make this the value of a document; with `lease`, until that ends."""
+
     name: str
     value: bytes
     lease: int = 0
 
 
 class Delete(_Record, tag=2, array_like=True, frozen=True):
+    """Let a document go, if there is one."""
+
     name: str
 
 
@@ -73,10 +78,14 @@
 
 
 class Keep(_Record, tag=3, array_like=True, frozen=True):
+    """Renew a lease."""
+
     lease: int
 
 
 class Revoke(_Record, tag=4, array_like=True, frozen=True):
+    """End a lease, and what was put under it."""
+
     lease: int
 
 
@@ -93,6 +102,8 @@
 
 
 class Close(_Record, tag=7, array_like=True, frozen=True):
+    """A client ends; its last answer is forgotten."""
+
     client: str
 
 
@@ -119,6 +130,8 @@
 
 
 class Document(_Record, array_like=True, frozen=True):
+    """A named value."""
+
     name: str
     value: bytes
     revision: int  # of its last change
@@ -137,6 +150,8 @@
 
 @dataclass(slots=True)
 class Lease:
+    """A lease, and the documents under it."""
+
     id: int
     ttl: float
     ends: float
@@ -145,6 +160,8 @@
 
 @dataclass(slots=True)
 class Session:
+    """A client's last command, and what it was answered."""
+
     number: int
     answer: Answer
 
@@ -166,6 +183,7 @@
 
 
 def pack(command: Command) -> bytes:
+    """A command as the log holds it."""
     return _ENCODER.encode(command)
 
 
@@ -178,6 +196,7 @@
     """`history`: events that are kept for watches."""
 
     def __init__(self, history: int = HISTORY) -> None:
+        """Begin empty, at revision 0."""
         self.history = history
         self.now = 0.0
         self.revision = 0
@@ -357,6 +376,7 @@
         return document.revision if document is not None else 0
 
     def get(self, name: str) -> Document | None:
+        """A document; None: there is none of that name."""
         return self.documents.get(name)
 
     def range(self, prefix: str, after: str = "", most: int = 1000) -> list[Document]:
--- a/eiderpin/store/transport.py
+++ b/eiderpin/store/transport.py
@@ -29,6 +29,8 @@
 
 
 class Hello(msgspec.Struct, array_like=True):
+    """Who connects, and to whom."""
+
     version: int
     cluster: str
     frm: str
@@ -58,6 +60,7 @@
     """Our way to one peer."""
 
     def __init__(self, transport: Transport, name: str, where: str) -> None:
+        """Begin to connect."""
         self.transport, self.name, self.where = transport, name, where
         self.conn: Connection | None = None
         self.open = False
@@ -67,6 +70,7 @@
         self.connect()
 
     def connect(self) -> None:
+        """Try once."""
         self.again = None
         conn = self.transport.loop.connect(address(self.where, "a member's address"))
         if conn is None:
@@ -87,6 +91,7 @@
         conn.on_data, conn.on_end = data, self.ended
 
     def welcomed(self, said: Welcome) -> None:
+        """It has answered our greeting."""
         if said.refused:
             if said.refused != self.refused:
                 self.transport.warn(f"member {self.name} at {self.where} refuses us: {said.refused}")
@@ -98,10 +103,12 @@
         self.transport.met_disk(self.name, said.disk, said.has_log)
 
     def ended(self) -> None:
+        """The connection has ended."""
         self.conn, self.open = None, False
         self.later()
 
     def later(self) -> None:
+        """Try again after a wait that grows."""
         loop = self.transport.loop
         loop.deadlines.drop(self.again)
         wait = self.wait * self.transport.rng.uniform(0.5, 1.0)
@@ -109,6 +116,7 @@
         self.again = loop.deadlines.set(loop.clock.now() + wait, self.connect)
 
     def send(self, message: Message) -> None:
+        """Send a message, or drop it where it cannot go."""
         if self.conn is None or not self.open:
             self.transport.counters.add("store.unsent")
             return
@@ -119,17 +127,21 @@
         self.conn.write(data)
 
     def close(self) -> None:
+        """End it for good."""
         self.transport.loop.deadlines.drop(self.again)
         if self.conn is not None:
             self.conn.close()
 
 
 class Transport:
+    """The connections between this member and the others."""
+
     def __init__(
         self, loop: Loop, counters: Counters, cluster: str, name: str, listen: tuple[str, int],
         heard: Callable[[Message], None], rng: random.Random, warn: Callable[[str], None],
         disk: str = "", generation: int = 1,
     ) -> None:  # fmt: skip
+        """Listen; nobody is connected to yet."""
         self.loop, self.counters, self.cluster, self.name = loop, counters, cluster, name
         self.disk, self.generation = disk, generation
         self.has_log: Callable[[], bool] = lambda: True
@@ -145,6 +157,7 @@
         self.listener = Listener(loop, listen, self.taken)
 
     def hello(self, to: str) -> Hello:
+        """How we greet a member."""
         host, port = self.listener.address
         return Hello(
             VERSION, self.cluster, self.name, to, f"{host}:{port}", self.disk, self.has_log(),
@@ -166,6 +179,7 @@
                 self.peers[name] = Outgoing(self, name, where)
 
     def send(self, message: Message) -> None:
+        """Send a message to whom it names; it may be lost."""
         peer = self.peers.get(message.to)
         if peer is not None:
             peer.send(message)
@@ -173,6 +187,7 @@
     # -- those who come to us
 
     def taken(self, conn: Connection) -> None:
+        """A connection has come in: it must greet us in time."""
         if len(self.coming) >= MOST_PEERS:
             next(iter(self.coming)).close()
         self.coming[conn] = None
@@ -243,6 +258,7 @@
         return ""
 
     def close(self) -> None:
+        """End all of it."""
         for peer in self.peers.values():
             peer.close()
         for conn in list(self.coming):
--- a/tests/test_quality.py
+++ b/tests/test_quality.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
+DOCUMENTED = ("eiderpin/store", "eiderpin/fleet", "eiderpin/parts/observer.py", "benchmarks/scale")
 
 
 def run(*command: str) -> None:
@@ -22,6 +23,11 @@
     run("ruff", "format", "--check", "--no-cache", ".")
 
 
+def test_public_items_say_what_they_are() -> None:
+    """Where work has been done since this is asked for; further packages are added as they are touched."""
+    run("ruff", "check", "--no-cache", "--select", "D1", *DOCUMENTED)
+
+
 def test_mypy() -> None:
     run("mypy", "--cache-dir", "/dev/null")
 
