Compare hollow dispatchers with real ones, and print the figures of a page from a kept run

`python -m benchmarks.scale compare` runs 20 real dispatchers, 20 hollow ones, and 20 without a control plane, and compares what members use and send; members count the bytes of their observers for it. `page` prints the tables of docs/CAPACITY.md from the run's JSON.

--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -5,6 +5,7 @@
 import json
 import sys
 from pathlib import Path
+from typing import TextIO
 
 import click
 
@@ -48,5 +49,39 @@
     measurement.write_run(out, result)
 
 
+@main.command()
+@click.option("--dispatchers", default=20)
+@click.option("--repeats", default=3, help="Windows of measurement.")
+def compare(dispatchers: int, repeats: int) -> None:
+    """Real dispatchers beside hollow ones; ends with 1 where hollow ones do not stand for real ones."""
+    from benchmarks.scale import compare as comparison
+
+    result = comparison.play(dispatchers, repeats)
+    print(json.dumps(result))
+    sys.exit(1 if result["broken"] else 0)
+
+
+@main.command()
+@click.option("--from", "source", type=click.Path(exists=True, path_type=Path), required=True)
+@click.option("--into", type=click.Path(exists=True, path_type=Path), help="A page to be brought up to date.")
+@click.option(
+    "--add", "results", multiple=True, type=click.File(), help="Results of `run` to keep; - is stdin."
+)
+def page(source: Path, into: Path | None, results: tuple[TextIO, ...]) -> None:
+    """Print the figures of the page from a kept run, or put them into it."""
+    from benchmarks.scale import measurement
+    from benchmarks.scale import page as pages
+
+    kept = measurement.read_run(source)
+    for file in results:
+        kept.scale += [json.loads(line) for line in file if line.startswith("{")]
+    if results:
+        measurement.write_run(source, kept)
+    if into is None:
+        click.echo(pages.render(kept))
+    else:
+        into.write_text(pages.replaced(into.read_text(), kept))
+
+
 if __name__ == "__main__":
     main()
--- a/eiderpin/store/observer_server.py
+++ b/eiderpin/store/observer_server.py
@@ -71,6 +71,7 @@
         warn: Callable[[str], None],
         most: int = MOST_OBSERVERS,
     ) -> None:
+        """Listen, and begin to announce."""
         self.loop, self.counters, self.member, self.warn = loop, counters, member, warn
         now = loop.clock.now()
         born = member.born
@@ -79,6 +80,7 @@
         )
         self.registry = ObserverRegistry(born.name)
         self._peers: dict[int, _Peer] = {}
+        self.sent = self.received = 0  # bytes, of all observers so far
         self._lease = 0
         self._whole = True  # the next announcement has all in it, whether it has changed or not
         self._busy = False  # a command of ours is under way
@@ -130,6 +132,7 @@
 
     def _received(self, key: int, data: bytes) -> None:
         peer = self._peers[key]
+        self.received += len(data)
         try:
             messages = [FROM_OBSERVER.decode(body) for body in peer.frames.feed(data)]
         except (ValueError, msgspec.MsgspecError) as error:
@@ -192,6 +195,7 @@
                 self._end(End(key, Rejection.SLOW, f"{len(peer.connection.unsent)} bytes are not read"))
                 continue
             peer.connection.write(data)
+            self.sent += len(data)
 
     def _end(self, end: End) -> None:
         """Say why, and close; one that does not read would not hear it."""
@@ -286,6 +290,8 @@
             "most": self.sessions.most,
             "phases": phases,
             "snapshots": self.sessions.snapshots,
+            "bytes_sent": self.sent,
+            "bytes_received": self.received,
             "announced": len(self.registry.folded.observers),
         }
 
