--- a/eiderpin/store/progress.py
+++ b/eiderpin/store/progress.py
@@ -78,7 +78,7 @@
             self.flying.clear()
 
     def beat(self, round_: int) -> None:
-        """A beat of this round goes out to it: what was sent before it is to be acknowledged by its answer."""
+        """A beat of this round goes out: its answer is to acknowledge what was sent before it."""
         if self.mark is None and self.flying:
             self.mark = (round_, self.flying[-1][0])
 
