--- a/benchmarks/scale/decisions.py
+++ b/benchmarks/scale/decisions.py
@@ -11,8 +11,8 @@
 import heapq
 import itertools
 import json
+import os
 import random
-import resource
 import subprocess
 import sys
 import time
@@ -21,6 +21,7 @@
 
 import orjson
 
+from benchmarks.store import memory_mb
 from eiderpin import interface as api
 from eiderpin.decide import Dispatcher
 from eiderpin.net import discovery
@@ -141,20 +142,19 @@
 
 def starts(workers: int, instances: int, tenants: int, running: int, burst: int) -> dict[str, float]:
     """Processor time a start, and the memory that the decisions have taken."""
-    before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    before = memory_mb(os.getpid())
     world = World(workers, instances, tenants, running)
     gap = 1000.0 * instances / STARTS_PER_SECOND * burst
     for _ in range(max(60, 600 // burst)):
         world.advance(world.now + world.rng.expovariate(1.0 / gap))
         world.request(burst)
     world.advance(world.now + 200.0)
-    after = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     made = max(1, world.starts)
     return {
         "start_ms": world.used * 1000.0 / made,
         "starts": float(world.starts),
         "opened": world.opened / made,
-        "memory_mb": (after - before) / 1024.0,
+        "memory_mb": memory_mb(os.getpid()) - before,
     }
 
 
--- a/benchmarks/scale/page.py
+++ b/benchmarks/scale/page.py
@@ -131,7 +131,7 @@
     commit_ms = interpolated(commit, commit.sizes[-1])
     return [
         Row("voter", "observers, of D", "D / 3, by rendezvous hashing",
-            lambda d: count(d / 3), "400, `observers.limit`", "`fleet/member_choice`"),
+            lambda d: count(d / 3), "1,000, `observers.limit`", "`fleet/member_choice`"),
         Row("voter that leads", "processor", "observers.leader_share",
             lambda d: percent(interpolated(leader, d)), "a core", "`store/raft`, `store/observer_server`"),
         Row("voter that follows, standby", "processor", "observers.follower_share",
--- a/eiderpin/parts/store.py
+++ b/eiderpin/parts/store.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-MOST_OBSERVERS = 400  # that a member serves at once, unless it is told otherwise
+MOST_OBSERVERS = 1_000  # that a member serves at once, unless it is told otherwise
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 
 
--- a/eiderpin/store/observer_registry.py
+++ b/eiderpin/store/observer_registry.py
@@ -116,6 +116,14 @@
                 effects += self._compare(observer, now)
         return effects
 
+    def replaced(self, events: list[Event], now: float) -> list[Effect]:
+        """The member's state is what these events make it, whatever was known before."""
+        there = {event.name for event in events}
+        known = [OBSERVERS + member for member in self.folded.members()]
+        known += [PRESENT + name for name in self.live.members]
+        gone = [Event(0, name, None) for name in known if name not in there]
+        return self.applied(gone + events, now)
+
     def _announced(self, member: str, value: bytes | None, revision: int) -> None:
         try:
             entries = presence.read(value) if value is not None else None
--- a/eiderpin/store/observer_server.py
+++ b/eiderpin/store/observer_server.py
@@ -33,7 +33,7 @@
 TICK = 50.0  # ms
 SUBSCRIBE_WITHIN = 2_000.0  # ms from the connection on
 MOST_UNSUBSCRIBED = 64  # connections that have not subscribed yet; the oldest gives way
-MOST_QUEUED = 256 << 10  # bytes that an observer may leave unread beside what the kernel holds
+MOST_QUEUED = 768 << 10  # bytes that an observer may leave unread beside what the kernel holds
 LEASE = 10_000.0  # ms for which the announcement outlives the member, so that observers may change to another
 KEEP_EVERY = 2_500.0
 PAGE_GAP = 1.0  # ms between two pages of a snapshot
@@ -97,8 +97,7 @@
         store = self.member.store
         now = self.loop.clock.now()
         events = [Event(d.revision, d.name, d.value, d.lease) for d in store.documents.values()]
-        self.registry = self.registry if self._watch is not None else ObserverRegistry(self.member.born.name)
-        self.registry.applied(events, now)
+        self._carry_out(self.registry.replaced(events, now))
         self._watch = self.member.watch("", store.revision, self._applied)
 
     def _applied(self, events: list[Event] | None) -> None:
--- a/eiderpin/store/observer_sessions.py
+++ b/eiderpin/store/observer_sessions.py
@@ -39,6 +39,8 @@
 DIGEST_EVERY = 30  # pings
 PINGS_KEPT = 8  # whose time of sending is remembered
 PAGE_BYTES = 64 << 10  # of names and values in one page; a larger document has a page to itself
+CHANGES_BYTES = 256 << 10  # of names and values in one message of changes; a larger revision has its own
+MOST_CATCH_UP = 512 << 10  # bytes of changes; one that lacks more gets a snapshot, which is paced
 
 
 class Phase(Enum):
@@ -124,6 +126,7 @@
         self.told = self.revision  # all current sessions know that they have everything up to here
         self.digest = DocumentDigest(self._observed_documents())
         self.snapshots = 0  # that were begun
+        self._cached: tuple[int, list[list[Document]]] = (-1, [])  # pages, and the revision they are of
         self._pinged_at = now
         self._ping = 0  # the number of the last one
         self._pings: dict[int, float] = {}  # when the latest of them were sent
@@ -204,11 +207,18 @@
         for key in self.admission.admit(now):
             session = self.sessions[key]
             session.phase, session.revision = Phase.SNAPSHOT, self.store().revision
-            session.pages = _pages(self._observed_documents())
+            session.pages = self._pages_now()
             self.snapshots += 1
             effects += self._send_page(key, session, first=True)
         return effects
 
+    def _pages_now(self) -> list[list[Document]]:
+        """The pages of a snapshot at the present revision; made once for all that begin at it."""
+        revision = self.store().revision
+        if self._cached[0] != revision:
+            self._cached = (revision, _pages(self._observed_documents()))
+        return list(self._cached[1])
+
     def _observed_documents(self) -> list[Document]:
         store = self.store()
         return [document for prefix in OBSERVED for document in store.range(prefix, "", len(store.documents))]
@@ -238,13 +248,17 @@
         try:
             events = self._events_after(revision)
         except Compacted:  # it took its pages so slowly that the changes since are forgotten
-            session.phase = Phase.QUEUED
-            self.admission.ask(key)
-            return []
+            return self._begin_anew(key, session)
+        if sum(map(_size, events)) > MOST_CATCH_UP:
+            return self._begin_anew(key, session)
         session.phase = Phase.CURRENT
-        if self.store().revision == revision:
-            return []
-        return [Send([key], Changes(revision, self.store().revision, events))]
+        return [Send([key], message) for message in _changes(revision, self.store().revision, events)]
+
+    def _begin_anew(self, key: int, session: Session) -> list[Effect]:
+        """Queue it for a snapshot."""
+        session.phase = Phase.QUEUED
+        self.admission.ask(key)
+        return []
 
     def _events_after(self, revision: int) -> list[Event]:
         return [event for event in self.store().since(revision + 1) if observed(event.name)]
@@ -261,7 +275,7 @@
         if seen:  # of all else the next change or ping tells
             keys = [key for key, session in self.sessions.items() if session.phase is Phase.CURRENT]
             if keys:
-                effects.append(Send(keys, Changes(self.told, self.revision, seen)))
+                effects += [Send(keys, message) for message in _changes(self.told, self.revision, seen)]
             self.told = self.revision
         return effects + self._catch_up(now)
 
@@ -343,3 +357,24 @@
         pages[-1].append(document)
         size += len(document.name) + len(document.value)
     return pages
+
+
+def _size(event: Event) -> int:
+    return len(event.name) + len(event.value or b"")
+
+
+def _changes(base: int, revision: int, events: list[Event]) -> list[Changes]:
+    """Changes from `base` to `revision` in messages of about `CHANGES_BYTES`, cut between revisions; none
+    where the two are the same."""
+    messages: list[Changes] = []
+    part: list[Event] = []
+    size = 0
+    for event in events:
+        if part and size + _size(event) > CHANGES_BYTES and event.revision != part[-1].revision:
+            messages.append(Changes(base, part[-1].revision, part))
+            base, part, size = part[-1].revision, [], 0
+        part.append(event)
+        size += _size(event)
+    if base != revision:
+        messages.append(Changes(base, revision, part))
+    return messages
--- a/eiderpin/store/presence.py
+++ b/eiderpin/store/presence.py
@@ -73,6 +73,10 @@
         self._documents: dict[str, list[LiveObserver]] = {}
         self.observers: dict[str, LiveObserver] = {}
 
+    def members(self) -> list[str]:
+        """The members that have a document."""
+        return list(self._documents)
+
     def take(self, member: str, entries: list[ObserverEntry] | None, revision: int) -> None:
         """A member's document has changed at `revision`; None: it is gone."""
         if entries is None:
--- a/tests/test_observer_rules.py
+++ b/tests/test_observer_rules.py
@@ -301,6 +301,39 @@
         self.assertEqual(ping.message.revision, 2)
         self.assertEqual(self.sessions.applied([event], 0.0), [Send([1], Changes(2, 3, [event]))])
 
+    def test_much_that_changed_goes_in_parts_cut_between_revisions(self) -> None:
+        self.subscribe()
+        big = b"x" * (observer_sessions.CHANGES_BYTES // 2 - 100)
+        events = [put(self.store, f"{WORKER_ORDERS}w{n}", big) for n in range(5)]
+        sent = [e.message for e in self.sessions.applied(events, 0.0) if isinstance(e, Send)]
+        copy = subscribed(RESUMED, at=(1, 2))
+        for message in sent:
+            assert isinstance(message, Changes)
+            self.assertLessEqual(len(message.events), 2)
+            copy.received(message)
+        self.assertEqual((len(sent), copy.position), (3, (1, 7)))
+        one = self.store.apply(
+            Command("", 0, Transaction([Put(f"{WORKER_ORDERS}w{n}", big) for n in range(3)]))
+        ).revision
+        whole = self.sessions.applied(self.store.since(one), 0.0)  # one revision is never cut
+        assert isinstance(whole[0], Send) and isinstance(whole[0].message, Changes)
+        self.assertEqual((len(whole), len(whole[0].message.events)), (1, 3))
+
+    def test_one_that_lacks_very_much_gets_a_snapshot(self) -> None:
+        store = self.store = Store()
+        self.sessions = ObserverSessions("c1", lambda: 1, "m0", lambda: store, 0.0)
+        put(store, ORDER, b"a")
+        for number in range(9):
+            put(store, ORDER, b"%d" % number + b"x" * observer_sessions.PAGE_BYTES)
+        self.sessions.replaced(0.0)
+        self.subscribe(1, (1, 1))
+        self.assertIs(self.sessions.sessions[1].phase, Phase.QUEUED)
+        (page,) = [e.message for e in self.sessions.tick(0.0, 0, 0.0) if isinstance(e, Send)]
+        assert isinstance(page, SnapshotPage)
+        copy = subscribed(RESUMED, at=(1, 1))  # it was told that it resumes, and takes the snapshot as well
+        copy.received(page)
+        self.assertEqual((copy.position, copy.documents[ORDER].revision), ((1, 10), 10))
+
     def test_one_that_leaves_is_forgotten(self) -> None:
         self.subscribe()
         self.assertEqual(self.sessions.received(1, Leave(), 0.0), [])
@@ -497,6 +530,12 @@
         self.registry.applied([Event(8, PRESENT + "m0", None)], 0.0)
         self.assertEqual(self.registry.tick(0.0), [Send([1], Fleet(2, 0)), Send([2], Fleet(2, 1))])
 
+    def test_what_a_replaced_state_lacks_is_gone(self) -> None:
+        self.registry.applied([Event(2, PRESENT + "m1", b"{}"), Event(3, PRESENT + "m2", b"{}")], 0.0)
+        self.commit("m1", 5, entry("o1", "t"))
+        self.registry.replaced([Event(3, PRESENT + "m2", b"{}")], 0.0)
+        self.assertEqual((self.registry.live.names(), self.registry.folded.observers), (["m2"], {}))
+
     def test_what_cannot_be_read_changes_nothing(self) -> None:
         self.commit("m1", 5, entry("o", "t"))
         self.registry.applied([Event(6, OBSERVERS + "m1", b"\xc1")], 0.0)
