--- a/benchmarks/comeback.py
+++ b/benchmarks/comeback.py
@@ -25,7 +25,7 @@
 
 from benchmarks import store_rig
 from benchmarks.store_rig import Cluster
-from eiderpin.store.asking import Failed
+from eiderpin.store.client import Failed
 from eiderpin.store.names import PRESENT
 
 WITHIN = 60.0  # s for all to be there again
@@ -33,7 +33,7 @@
 
 def lives(it: Cluster) -> dict[str, str]:
     """Who is there, by the store: name to what tells one life from the next."""
-    rows = it.asking(10.0).ask("range", 0.3, prefix=PRESENT, most=1000)["documents"]
+    rows = it.store_client(10.0).ask("range", 0.3, prefix=PRESENT, most=1000)["documents"]
     found = {}
     for row in rows:
         said = orjson.loads(base64.b64decode(row["value"]))
@@ -77,7 +77,7 @@
         it = Cluster(Path(folder), dispatchers)
         try:
             it.start()
-            it.asking(30.0).put("kept", b"acknowledged")
+            it.store_client(30.0).put("kept", b"acknowledged")
             while set(lives(it)) < set(it.all):
                 time.sleep(0.1)
             names, may_lose = sorted(it.all), (dispatchers - 1) // 2
@@ -94,7 +94,7 @@
                     broken.append(f"{what}: not all came back within {WITHIN:g} s")
                     break
                 took[what] = round(ms)
-            if it.asking(30.0).get("kept")[0] != b"acknowledged":
+            if it.store_client(30.0).get("kept")[0] != b"acknowledged":
                 broken.append("a document that was acknowledged is gone")
         finally:
             it.stop()
--- a/benchmarks/scale/compare.py
+++ b/benchmarks/scale/compare.py
@@ -14,7 +14,7 @@
 from benchmarks.store import memory_mb
 from benchmarks.store_rig import Cluster, Process
 from eiderpin.cli.config import install
-from eiderpin.store.asking import Failed
+from eiderpin.store.client import Failed
 
 LIKE = 0.15  # by which hollow ones may differ from real ones, in what members use and send
 WINDOW = 20.0  # s
@@ -40,7 +40,7 @@
     used, own = sum(map(cpu, members)), sum(map(cpu, pids))
     moved, begun = traffic(cluster), time.monotonic()
     time.sleep(WINDOW / 2)
-    store = cluster.asking(10.0)
+    store = cluster.store_client(10.0)
     install(store, CHANGE)
     store.close()
     time.sleep(WINDOW / 2)
--- a/benchmarks/scale/run.py
+++ b/benchmarks/scale/run.py
@@ -29,7 +29,7 @@
 from benchmarks.store import memory_mb
 from eiderpin.cli.config import install
 from eiderpin.store.admission import SNAPSHOTS_PER_SECOND
-from eiderpin.store.asking import Failed
+from eiderpin.store.client import Failed
 from eiderpin.store.names import OBSERVERS
 from eiderpin.store.presence import read as read_presence
 
@@ -159,7 +159,7 @@
         text = configuration(len(self.changes) + 1)
         while True:
             try:
-                with contextlib.closing(self.fleet.cluster.asking(2.0)) as store:
+                with contextlib.closing(self.fleet.cluster.store_client(2.0)) as store:
                     version = install(store, text)
                 break
             except Failed as error:
@@ -186,7 +186,7 @@
 
     def names_announced(self) -> list[str]:
         """The names of all observers, as often as members announce them."""
-        with contextlib.closing(self.fleet.cluster.asking(10.0)) as store:
+        with contextlib.closing(self.fleet.cluster.store_client(10.0)) as store:
             rows = store.ask("range", prefix=OBSERVERS, most=100)["documents"]
         found = []
         for row in rows:
--- a/benchmarks/scale/slopes.py
+++ b/benchmarks/scale/slopes.py
@@ -16,7 +16,7 @@
 from benchmarks.scale.measurement import Collector, Run, bare_loop, this_machine
 from benchmarks.store import memory_mb
 from benchmarks.store_rig import Cluster
-from eiderpin.store.asking import Asking
+from eiderpin.store.client import StoreClient
 
 FLEET_RUNNING = 13_000  # tasks of the plan
 PEER_JOIN_WITHIN = 90.0  # s for a cluster to come together
@@ -138,7 +138,7 @@
 
     def put_many(cluster: Cluster, count: int) -> None:
         def client(number: int) -> None:
-            store = Asking([cluster.all[lead].door], 30.0)
+            store = StoreClient([cluster.all[lead].door], 30.0)
             for place in range(count // 8):
                 store.put(f"c{number}/{place % 20}", VALUE)
             store.close()
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -25,7 +25,7 @@
 from benchmarks.durable import bare_loop, cpu, serve_posts, start_workers
 from benchmarks.rig import free_port
 from benchmarks.store_rig import Cluster, Process
-from eiderpin.store.asking import Asking, Failed
+from eiderpin.store.client import Failed, StoreClient
 from eiderpin.store.member import TICK
 from eiderpin.store.raft import ELECTION
 
@@ -40,7 +40,7 @@
     failed: list[str] = []
 
     def client(number: int) -> None:
-        store = Asking([cluster.all[lead].door], 20.0)
+        store = StoreClient([cluster.all[lead].door], 20.0)
         try:
             for i in range(total // clients):
                 begun = time.perf_counter()
@@ -100,7 +100,7 @@
     doors = cluster.all[lead].door
 
     def client(number: int) -> None:
-        store = Asking([doors], 30.0)
+        store = StoreClient([doors], 30.0)
         for i in range(entries // 800):
             rows = [{"name": f"e{number}/{i % 40}/{k}", "value": "eHh4"} for k in range(100)]
             store.change("txn", puts=rows)
--- a/benchmarks/store_chaos.py
+++ b/benchmarks/store_chaos.py
@@ -24,7 +24,7 @@
 from benchmarks.rig import settings
 from benchmarks.store_rig import Cluster
 from eiderpin.cli.config import current, install, problem, version_of
-from eiderpin.store.asking import Asking, Failed
+from eiderpin.store.client import Failed, StoreClient
 
 WRITERS, RAISERS, WATCHERS = 4, 3, 2
 
@@ -43,15 +43,15 @@
         self.lock = threading.Lock()
         self.installed = self.maybe_installed = self.versions = 0
 
-    def asking(self, within: float = 30.0) -> Asking:
+    def store_client(self, within: float = 30.0) -> StoreClient:
         with self.lock:
             doors = [p.door for p in self.cluster.all.values()]
             self.rng.shuffle(doors)
-        return Asking(doors, within)
+        return StoreClient(doors, within)
 
     def write(self, number: int) -> None:
         """Raises the number in documents of its own; each read must show the last acknowledged one."""
-        store, count = self.asking(), 0
+        store, count = self.store_client(), 0
         rng = random.Random(f"{number} {self.rng.random()}")
         while not self.stop.is_set():
             name, count = f"w/{number}/{rng.randrange(20)}", count + 1
@@ -69,11 +69,11 @@
                 self.unknown += 1
                 if error.kind in ("bad", "refused", "differs", "absent"):
                     self.broken.append(f"{name}: {error}")
-                store = self.asking()
+                store = self.store_client()
 
     def raise_counter(self, number: int) -> None:
         """Many raise one counter by compare-and-set: an acknowledged raise counts once."""
-        store = self.asking()
+        store = self.store_client()
         while not self.stop.is_set():
             try:
                 try:
@@ -91,11 +91,11 @@
                 self.unknown += error.kind == "unknown"
                 if error.kind in ("bad", "refused"):
                     self.broken.append(f"counter: {error}")
-                store = self.asking()
+                store = self.store_client()
 
     def configure(self) -> None:
         """Makes one version of the shared configuration after the other; each is whole, and counted once."""
-        store, number = self.asking(), 0
+        store, number = self.store_client(), 0
         while not self.stop.is_set():
             number += 1
             text = json.dumps({"settings": settings(), "workers": [], "mark": number}).encode()
@@ -106,12 +106,12 @@
                 self.maybe_installed += error.kind == "unknown"
                 if error.kind in ("bad", "refused"):
                     self.broken.append(f"configuration: {error}")
-                store = self.asking()
+                store = self.store_client()
             self.stop.wait(0.5)
 
     def watch(self, number: int) -> None:
         try:
-            for event in self.asking().watch("w/", 0):
+            for event in self.store_client().watch("w/", 0):
                 self.seen[number].append((event["revision"], event["name"], event["value"]))
         except Failed as error:
             self.watched[number] = error.kind
@@ -133,7 +133,7 @@
                 process.process.send_signal(signal.SIGCONT)
             else:
                 try:
-                    self.asking(1.0).ask("transfer", name=process.name)
+                    self.store_client(1.0).ask("transfer", name=process.name)
                     self.transfers += 1
                 except Failed:
                     continue
@@ -170,7 +170,7 @@
         except TimeoutError as error:
             say(str(error))
             return
-        store = self.asking()
+        store = self.store_client()
         for name, (count, revision) in sorted(self.acked.items()):
             value, document = store.get(name)
             if int(value) < count or document["revision"] < revision:
@@ -196,7 +196,7 @@
                 say(f"{process.name} has not taken version {version}")
         images = {}
         for process in self.cluster.all.values():
-            rows = Asking([process.door], 10.0).ask("range", prefix="w/", most=1000, stale=True)
+            rows = StoreClient([process.door], 10.0).ask("range", prefix="w/", most=1000, stale=True)
             images[process.name] = json.dumps(rows["documents"])
         if len(set(images.values())) != 1:
             say("the members hold different documents")
--- a/benchmarks/store_rig.py
+++ b/benchmarks/store_rig.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from benchmarks.rig import ROOT, free_port, settings
-from eiderpin.store.asking import Asking, Failed
+from eiderpin.store.client import Failed, StoreClient
 
 
 class Process:
@@ -60,7 +60,7 @@
 
     def status(self) -> dict[str, Any]:
         """Raises `Failed`."""
-        return Asking([self.door], 1.0)._once(self.door, {"op": "status"}, 2.0)
+        return StoreClient([self.door], 1.0)._once(self.door, {"op": "status"}, 2.0)
 
     def log(self) -> str:
         return self.errors.read_text() if self.errors.exists() else ""
@@ -104,8 +104,8 @@
         process.start()
         return process
 
-    def asking(self, within: float = 15.0, *names: str) -> Asking:
-        return Asking([self.all[n].door for n in names or self.all], within)
+    def store_client(self, within: float = 15.0, *names: str) -> StoreClient:
+        return StoreClient([self.all[n].door for n in names or self.all], within)
 
     def statuses(self) -> dict[str, dict[str, Any]]:
         found = {}
--- a/eiderpin/cli/config.py
+++ b/eiderpin/cli/config.py
@@ -14,9 +14,9 @@
 if TYPE_CHECKING:
     from eiderpin.store.fleet_view import ConfigView
 
-from eiderpin.cli.store import asking, door, fleet_view
+from eiderpin.cli.store import door, fleet_view, store_client
 from eiderpin.configuration import ConfigError, read_shared
-from eiderpin.store.asking import Asking, Failed
+from eiderpin.store.client import Failed, StoreClient
 from eiderpin.store.names import CURRENT, IN_FORCE, OBSERVERS, PRESENT, VERSIONS
 
 STAND_IN = {"name": "x", "listen": "127.0.0.1:0", "workers": []}  # for what is each dispatcher's own
@@ -37,7 +37,7 @@
     return ""
 
 
-def current(store: Asking) -> tuple[int, bytes, int]:
+def current(store: StoreClient) -> tuple[int, bytes, int]:
     """Version, text and the document's revision; zeros where there is none. Raises `Failed`."""
     try:
         value, said = store.get(CURRENT)
@@ -49,11 +49,11 @@
     return int(version), text, said["revision"]
 
 
-def version_of(store: Asking, number: int) -> bytes:
+def version_of(store: StoreClient, number: int) -> bytes:
     return store.get(f"{VERSIONS}{number:08d}")[0]
 
 
-def install(store: Asking, text: bytes) -> int:
+def install(store: StoreClient, text: bytes) -> int:
     """Make `text` the next version, if nobody else makes one meanwhile."""
     before, _, revision = current(store)
     number = before + 1
@@ -89,7 +89,7 @@
     if wrong:
         click.echo(f"eiderpin: {file}: {wrong}", err=True)
         sys.exit(2)
-    with asking(doors) as s:
+    with store_client(doors) as s:
         click.echo(f"version {install(s, text)}")
 
 
@@ -98,7 +98,7 @@
 @click.option("--version", "number", type=int, help="An earlier one.")
 def show(doors: str, number: int | None) -> None:
     """The configuration, and what became of it at each dispatcher."""
-    with asking(doors) as s:
+    with store_client(doors) as s:
         if number is not None:
             sys.stdout.buffer.write(version_of(s, number))
             return
@@ -135,7 +135,7 @@
 def diff(doors: str, one: int, other: int | None) -> None:
     """What has changed from one version to another, or to the one that holds; exit code 1 where they
     differ."""
-    with asking(doors) as s:
+    with store_client(doors) as s:
         before = version_of(s, one)
         now, text, _ = current(s)
         after = version_of(s, other) if other is not None else text
@@ -154,7 +154,7 @@
 @click.argument("number", type=int, required=False)
 def rollback(doors: str, number: int | None) -> None:
     """Go back to version NUMBER, or to the one before; as a new version."""
-    with asking(doors) as s:
+    with store_client(doors) as s:
         before, _, _ = current(s)
         back = number if number is not None else before - 1
         if back < 1:
--- a/eiderpin/cli/store.py
+++ b/eiderpin/cli/store.py
@@ -15,7 +15,7 @@
 
 import click
 
-from eiderpin.store.asking import Asking, Failed
+from eiderpin.store.client import Failed, StoreClient
 
 F = TypeVar("F", bound=Callable[..., Any])
 CODES = {"absent": 1, "differs": 1, "compacted": 1, "bad": 2, "no-leader": 3, "unknown": 4, "refused": 5,
@@ -23,9 +23,9 @@
 
 
 @contextmanager
-def asking(doors: str, within: float = 10.0) -> Iterator[Asking]:
+def store_client(doors: str, within: float = 10.0) -> Iterator[StoreClient]:
     """Ends the command with one line and a code where the store says no."""
-    store = Asking([d.strip() for d in doors.split(",") if d.strip()], within)
+    store = StoreClient([d.strip() for d in doors.split(",") if d.strip()], within)
     if not store.doors:
         raise click.UsageError("which door? --door HOST:PORT, or EIDERPIN_DOOR")
     try:
@@ -63,7 +63,7 @@
 @click.option("--json", "as_json", is_flag=True)
 def status(doors: str, as_json: bool) -> None:
     """How the member behind the door stands."""
-    with asking(doors) as s:
+    with store_client(doors) as s:
         said = s.ask("status")
     if as_json:
         click.echo(json.dumps(said, indent=1))
@@ -93,7 +93,7 @@
 @door
 def members(doors: str) -> None:
     """Who the members are."""
-    with asking(doors) as s:
+    with store_client(doors) as s:
         _members(s.ask("status"))
 
 
@@ -104,7 +104,7 @@
 @click.option("--json", "as_json", is_flag=True, help="With its revision; the value in base64.")
 def get(doors: str, name: str, stale: bool, as_json: bool) -> None:
     """A document's value."""
-    with asking(doors) as s:
+    with store_client(doors) as s:
         value, said = s.get(name, stale)
     if as_json:
         click.echo(json.dumps(said))
@@ -117,7 +117,7 @@
 @click.argument("prefix", default="")
 def list_(doors: str, prefix: str) -> None:
     """Names that begin so, with revisions and sizes."""
-    with asking(doors) as s:
+    with store_client(doors) as s:
         after, more = "", True
         while more:
             said = s.ask("range", prefix=prefix, after=after, most=1000)
@@ -147,7 +147,7 @@
 @click.option("--lease", default=0, help="Goes when this lease ends.")
 def put(doors: str, name: str, value: str | None, file: str | None, lease: int) -> None:
     """Put a document; once, however often it has to be asked for."""
-    with asking(doors) as s:
+    with store_client(doors) as s:
         click.echo(s.put(name, _value(value, file), None, lease)["revision"])
 
 
@@ -159,7 +159,7 @@
 @click.option("--file", help="Take the value from here; - is standard input.")
 def cas(doors: str, name: str, revision: int, value: str | None, file: str | None) -> None:
     """Put a document if it is at REVISION (0: if there is none); else exit code 1."""
-    with asking(doors) as s:
+    with store_client(doors) as s:
         click.echo(s.put(name, _value(value, file), revision)["revision"])
 
 
@@ -168,7 +168,7 @@
 @click.argument("names", nargs=-1, required=True)
 def delete(doors: str, names: tuple[str, ...]) -> None:
     """Delete documents, all at once."""
-    with asking(doors) as s:
+    with store_client(doors) as s:
         click.echo(s.change("txn", deletes=list(names))["revision"])
 
 
@@ -179,7 +179,7 @@
 @click.option("--most", type=int, help="End after so many changes.")
 def watch(doors: str, prefix: str, after: int | None, most: int | None) -> None:
     """A line of JSON for each change, for ever."""
-    with asking(doors) as s:
+    with store_client(doors) as s:
         for count, event in enumerate(s.watch(prefix, after), 1):
             click.echo(json.dumps(event))
             sys.stdout.flush()
@@ -192,7 +192,7 @@
 @click.argument("name")
 def history(doors: str, name: str) -> None:
     """A document's changes that are still remembered."""
-    with asking(doors) as s:
+    with store_client(doors) as s:
         said = s.ask("history", name=name)
         for event in said["events"]:
             size = "deleted" if event["value"] is None else f"{_size(event['value'])} bytes"
@@ -208,7 +208,7 @@
 @click.option("--standby", is_flag=True, help="No vote until it is promoted.")
 def add(doors: str, name: str, address: str, within: float, standby: bool) -> None:
     """Add a member; it votes once it has caught up. Start it with `join` set."""
-    with asking(doors, within) as s:
+    with store_client(doors, within) as s:
         what = "add-standby" if standby else "add"
         _members(s.ask(what, within, name=name, address=address))
 
@@ -219,7 +219,7 @@
 @click.option("--within", default=30.0, help="s to wait until it votes.")
 def promote(doors: str, name: str, within: float) -> None:
     """Make a standby a voter, once it has caught up: in place of a voter that is lost for good."""
-    with asking(doors, within) as s:
+    with store_client(doors, within) as s:
         _members(s.ask("promote", within, name=name))
 
 
@@ -228,7 +228,7 @@
 @click.argument("name")
 def remove(doors: str, name: str) -> None:
     """Remove a member, dead or alive."""
-    with asking(doors) as s:
+    with store_client(doors) as s:
         _members(s.ask("remove", name=name))
 
 
@@ -237,7 +237,7 @@
 @click.argument("name")
 def transfer(doors: str, name: str) -> None:
     """Have this member lead."""
-    with asking(doors) as s:
+    with store_client(doors) as s:
         s.ask("transfer", name=name)
 
 
@@ -248,7 +248,7 @@
     """Save all of it to FILE, which is whole or not there."""
     from eiderpin.store import backup
 
-    with asking(doors) as s:
+    with store_client(doors) as s:
         image = s.snapshot()
     backup.save(file, image, s.generation)
     click.echo(f"{len(image)} bytes")
--- a/eiderpin/cli/workers.py
+++ b/eiderpin/cli/workers.py
@@ -8,9 +8,9 @@
 
 import click
 
-from eiderpin.cli.store import asking, door, fleet_view
+from eiderpin.cli.store import door, fleet_view, store_client
 from eiderpin.store import orders
-from eiderpin.store.asking import Asking, Failed
+from eiderpin.store.client import Failed, StoreClient
 from eiderpin.store.names import OBSERVERS, PRESENT
 from eiderpin.store.orders import Order
 
@@ -22,7 +22,7 @@
     """Orders for workers, followed by every dispatcher of the store; exit codes as of `eiderpin store`."""
 
 
-def change(store: Asking, name: str, **changes: object) -> Order:
+def change(store: StoreClient, name: str, **changes: object) -> Order:
     """Change a part of a worker's order, whoever else changes another part meanwhile. Raises `Failed`."""
     for _ in range(TRIES):
         order, revision = Order(), 0
@@ -58,7 +58,7 @@
 @click.option("--why", default="", help="For those who look later.")
 def cordon(doors: str, name: str, why: str) -> None:
     """Send nothing new to a worker; what it runs may end."""
-    with asking(doors) as s:
+    with store_client(doors) as s:
         change(s, name, cordon=True, why=why)
     click.echo(f"{name}: nothing new goes there")
 
@@ -68,7 +68,7 @@
 @click.argument("name")
 def release(doors: str, name: str) -> None:
     """Let a worker back in."""
-    with asking(doors) as s:
+    with store_client(doors) as s:
         left = change(s, name, cordon=False)
     click.echo(f"{name}: back" + (f", with {left.slots:g} slots at most" if left.slots else ""))
 
@@ -79,7 +79,7 @@
 @click.argument("slots", type=float)
 def cap(doors: str, name: str, slots: float) -> None:
     """Use no more than SLOTS of a worker; 0 takes the cap back."""
-    with asking(doors) as s:
+    with store_client(doors) as s:
         change(s, name, slots=slots or None)
     click.echo(f"{name}: {slots:g} slots at most" if slots else f"{name}: no cap")
 
@@ -88,7 +88,7 @@
 @door
 def orders_(doors: str) -> None:
     """The orders that stand."""
-    with asking(doors) as s:
+    with store_client(doors) as s:
         rows = s.ask("range", prefix=orders.PREFIX, most=1000)["documents"]
     for row in rows:
         name = row["name"].removeprefix(orders.PREFIX)
@@ -105,7 +105,7 @@
 @door
 def dispatchers(doors: str) -> None:
     """The dispatchers that are there."""
-    with asking(doors) as s:
+    with store_client(doors) as s:
         shown = fleet_view()
         members = shown.documents(s, PRESENT)
         observers = shown.live_observers(shown.documents(s, OBSERVERS), OBSERVERS)
--- a/eiderpin/store/asking.py
+++ b/eiderpin/store/client.py
@@ -24,7 +24,7 @@
         self.kind = kind
 
 
-class Asking:
+class StoreClient:
     """`doors`: HOST:PORT of any members; the next one is asked where one does not answer. `within`: s that
     one question may take in all."""
 
--- a/eiderpin/store/fleet_view.py
+++ b/eiderpin/store/fleet_view.py
@@ -9,7 +9,7 @@
 import orjson
 
 from eiderpin.store import in_force, presence
-from eiderpin.store.asking import Asking
+from eiderpin.store.client import StoreClient
 from eiderpin.store.in_force import Lagging
 from eiderpin.store.observer_protocol import ConfigOutcome
 from eiderpin.store.presence import FoldedPresence, LiveObserver
@@ -35,7 +35,7 @@
     lagging: list[Lagging] = field(default_factory=list)
 
 
-def documents(store: Asking, prefix: str) -> list[Document]:
+def documents(store: StoreClient, prefix: str) -> list[Document]:
     """All documents whose names begin so. Raises `Failed`."""
     found: list[Document] = []
     while True:
--- a/tests/test_discovery_ends.py
+++ b/tests/test_discovery_ends.py
@@ -291,8 +291,8 @@
             room = stage.service.edge.most + stage.service.edge.extra
             self.assertLessEqual(len(stage.service.edge.connections), room)
             self.assertLessEqual(len(stage.loop.connections), 96 - 16 + 1)
-            asking = stage.client()
-            asking.say(job("result-post", "a"))
+            client = stage.client()
+            client.say(job("result-post", "a"))
             run(stage, agent, until=lambda: bool(stage.begun()), ms=5000)
             self.assertEqual(stage.begun(), ["a"])
             agent.fails = None
--- a/tests/test_identity.py
+++ b/tests/test_identity.py
@@ -14,7 +14,7 @@
 from benchmarks.rig import free_port
 from benchmarks.store_rig import Cluster, Process
 from eiderpin.store import identity
-from eiderpin.store.asking import Asking, Failed
+from eiderpin.store.client import Failed, StoreClient
 from eiderpin.store.messages import Appended, Ask, Beat, Config, Entry, EntryKind, Gone, Hard, Snapshot, Voted
 from eiderpin.store.raft import HEARD, Raft, Refused, Role
 from eiderpin.store.records import Born
@@ -169,7 +169,7 @@
     leader = it.leader()
     behind, lost = sorted(set(it.all) - {leader})
     it.all[behind].kill()
-    it.asking().put("kept", b"acknowledged")
+    it.store_client().put("kept", b"acknowledged")
     it.all[leader].kill()
     it.all[lost].kill()
     shutil.rmtree(it.all[lost].directory)
@@ -182,10 +182,10 @@
 def test_two_that_are_left_with_one_empty_disk_wait_for_the_third(three: Cluster) -> None:
     leader, behind, lost = alone_with_a_lost_disk(three)
     with pytest.raises(Failed) as failed:
-        Asking([three.all[n].door for n in (behind, lost)], 4.0).put("new", b"1")
+        StoreClient([three.all[n].door for n in (behind, lost)], 4.0).put("new", b"1")
     assert failed.value.kind == "no-leader"
     three.all[leader].start()
-    assert three.asking(20.0).get("kept")[0] == b"acknowledged"
+    assert three.store_client(20.0).get("kept")[0] == b"acknowledged"
 
     def voter_again() -> bool:
         config = three.all[leader].status()
@@ -193,7 +193,7 @@
 
     wait_for(voter_again, "the emptied one to be a voter again, by itself")
     three.together()
-    assert three.asking(20.0, lost).get("kept")[0] == b"acknowledged"
+    assert three.store_client(20.0, lost).get("kept")[0] == b"acknowledged"
 
 
 def test_a_copy_of_last_weeks_disk_has_no_vote_until_it_is_taken_in_again(three: Cluster) -> None:
@@ -205,7 +205,7 @@
     three.all[old].start()
     three.together()
     three.all[behind].kill()
-    three.asking().put("kept", b"acknowledged")  # by the leader and the one whose disk is put back
+    three.store_client().put("kept", b"acknowledged")  # by the leader and the one whose disk is put back
     three.all[leader].kill()
     three.all[old].kill()
     shutil.rmtree(three.all[old].directory)
@@ -214,19 +214,19 @@
     three.all[behind].start()
     wait_for(lambda: "it is a copy of member" in three.all[old].log(), "the copy to be noticed")
     with pytest.raises(Failed) as failed:
-        Asking([three.all[n].door for n in (behind, old)], 3.0).put("new", b"1")
+        StoreClient([three.all[n].door for n in (behind, old)], 3.0).put("new", b"1")
     assert failed.value.kind == "no-leader"
     three.all[leader].start()
-    assert three.asking(20.0).get("kept")[0] == b"acknowledged"
+    assert three.store_client(20.0).get("kept")[0] == b"acknowledged"
     wait_for(lambda: three.all[leader].status()["retired"], "the copy to be taken in")
     three.together()
-    assert three.asking(20.0, old).get("kept")[0] == b"acknowledged"
+    assert three.store_client(20.0, old).get("kept")[0] == b"acknowledged"
 
 
 def test_with_a_majority_lost_one_serves_on_and_a_new_generation_begins_with_what_it_has(
     three: Cluster,
 ) -> None:
-    store = three.asking()
+    store = three.store_client()
     revision = store.put("kept", b"acknowledged")["revision"]
     watch = store.watch("", revision - 1)
     assert next(watch)["name"] == "kept"  # somebody follows, and will ask for more after this revision
@@ -236,7 +236,7 @@
         three.all[name].kill()
     shutil.rmtree(three.all[emptied].directory)
     three.all[emptied].start()
-    only = Asking([three.all[old].door], 2.0)
+    only = StoreClient([three.all[old].door], 2.0)
     assert only.get("kept", stale=True)[0] == b"acknowledged"
     with pytest.raises(Failed) as failed:
         only.put("new", b"1")
@@ -250,10 +250,10 @@
     done = eiderpin(*args, "--member", f"{old}={one.listen}")
     assert done.returncode == 0, done.stderr
     one.start()
-    asking = Asking([one.door], 15.0)
-    assert asking.get("kept")[0] == b"acknowledged"
+    client = StoreClient([one.door], 15.0)
+    assert client.get("kept")[0] == b"acknowledged"
     assert (one.status()["generation"], one.status()["voters"]) == (2, {old: one.listen})
-    asking.put("new", b"2")
+    client.put("new", b"2")
     other = three.all[away]
     other.start()  # as after a cut, on whose other side it was
     wait_for(lambda: "generation 1 of the cluster; here is 2" in other.log(), "the old one to be refused")
@@ -268,8 +268,8 @@
 
     # One without anything comes in again as a new member.
     fresh = three.all[emptied]
-    asking.ask("add", 20.0, name=emptied, address=fresh.listen)
-    assert Asking([fresh.door], 15.0).get("new")[0] == b"2"
+    client.ask("add", 20.0, name=emptied, address=fresh.listen)
+    assert StoreClient([fresh.door], 15.0).get("new")[0] == b"2"
     assert fresh.status()["generation"] == 2
 
 
@@ -279,12 +279,12 @@
         one.parts["store"] = {"directory": str(one.directory)}
         one.start()
         try:
-            Asking([one.door], 15.0).put("kept", b"1")
+            StoreClient([one.door], 15.0).put("kept", b"1")
             one.kill()
             moved = shutil.copytree(one.directory, one.folder / "moved", copy_function=shutil.copy2)
             one.parts["store"] = {"directory": str(moved)}
             one.start()
-            assert Asking([one.door], 15.0).get("kept")[0] == b"1"
+            assert StoreClient([one.door], 15.0).get("kept")[0] == b"1"
         finally:
             one.kill()
 
--- a/tests/test_incarnation.py
+++ b/tests/test_incarnation.py
@@ -124,13 +124,13 @@
             frozen.process.send_signal(signal.SIGSTOP)
 
             # Its machine is given up, and another one takes the name.
-            asking = it.asking(20.0, leader)
-            asking.ask("remove", name=name)
+            client = it.store_client(20.0, leader)
+            client.ask("remove", name=name)
             (it.folder / "other").mkdir()
             at = f"127.0.0.1:{free_port()}"
             successor = it.all["successor"] = Process(it.folder / "other", name, {}, at, join=True)
             successor.start()
-            asking.ask("add", 20.0, name=name, address=successor.listen)
+            client.ask("add", 20.0, name=name, address=successor.listen)
             wait_for(lambda: f"store: this is {name}/" in successor.log(), "the successor to begin")
             frozen.process.send_signal(signal.SIGCONT)
             woken = time.monotonic()
--- a/tests/test_observers.py
+++ b/tests/test_observers.py
@@ -21,7 +21,7 @@
 from benchmarks.store_rig import Cluster, Process
 from eiderpin.cli.config import install
 from eiderpin.parts.store import address
-from eiderpin.store.asking import Failed
+from eiderpin.store.client import Failed
 from eiderpin.store.fleet_view import documents, live_observers
 from eiderpin.store.names import OBSERVERS
 from eiderpin.store.orders import Order
@@ -74,7 +74,7 @@
         wait_for(lambda: self.status(process).get("standing") == "known", "an observer to be known")
 
     def put_order(self, slots: float) -> None:
-        store = self.cluster.asking(20.0)
+        store = self.cluster.store_client(20.0)
         store.put(WORKER_ORDER, Order(slots=slots).pack())
         store.close()
 
@@ -84,7 +84,7 @@
 
     def announced(self) -> dict[str, str]:
         """Who is announced, and by which member."""
-        live = live_observers(documents(self.cluster.asking(10.0), OBSERVERS), OBSERVERS)
+        live = live_observers(documents(self.cluster.store_client(10.0), OBSERVERS), OBSERVERS)
         return {name: one.member for name, one in live.items()}
 
     def stop(self) -> None:
@@ -136,7 +136,7 @@
             it.put_order(3.0)
             wait_for(lambda: it.applied(3.0), "the order to be followed")
             wait_for(lambda: all("of 5" in p.log() for p in it.observers.values()), "all five to be counted")
-            store = it.cluster.asking(20.0)
+            store = it.cluster.store_client(20.0)
             said = json.loads((it.observers["d1"].folder / "config.json").read_text())
             text = json.dumps({"settings": said["settings"], "workers": []}).encode()
             self.assertEqual(install(store, text), 1)
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -7,7 +7,7 @@
 from msgspec.structs import replace
 
 from eiderpin.store import identity
-from eiderpin.store.asking import Failed
+from eiderpin.store.client import Failed
 from eiderpin.store.messages import Config
 from tests.standins import wait_for
 from tests.test_command import eiderpin
@@ -39,7 +39,7 @@
 class Processes(unittest.TestCase):
     def test_a_standby_follows_without_a_vote_until_it_is_promoted(self) -> None:
         with cluster(3) as it:
-            store = it.asking()
+            store = it.store_client()
             process = it.join("s1")
             said = store.ask("add-standby", 20.0, name="s1", address=process.listen)
             self.assertEqual((said["standbys"], sorted(said["voters"])), (["s1"], ["m0", "m1", "m2"]))
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -25,7 +25,7 @@
 from eiderpin import interface as api
 from eiderpin.core.learned import Learned
 from eiderpin.store import hints, orders
-from eiderpin.store.asking import Asking, Failed
+from eiderpin.store.client import Failed, StoreClient
 from eiderpin.store.framing import Frames, frame
 from eiderpin.store.messages import Beat
 from eiderpin.store.transport import MAGIC, VERSION, Hello, Welcome
@@ -53,7 +53,7 @@
             one = Process(Path(folder), "solo", {}, "")
             one.parts["store"] = {"directory": str(one.directory)}
             one.start()
-            store = Asking([one.door], 15.0)
+            store = StoreClient([one.door], 15.0)
             first = store.put("a", b"1")
             self.assertGreater(store.put("b", b"\0\xff", 0)["revision"], first["revision"])
             with self.assertRaisesRegex(Failed, "revision") as failed:
@@ -91,7 +91,7 @@
                 self.assertEqual(len(one.log().splitlines()), 1)
             one.parts["store"] = {"directory": str(one.directory)}
             one.start()
-            Asking([one.door], 15.0).put("a", b"1")
+            StoreClient([one.door], 15.0).put("a", b"1")
             other = Process(Path(folder), "other", {}, "")
             for name, why in (("solo", "another process owns it"), ("other", "another process owns it")):
                 other.parts["store"] = {"directory": str(one.directory), "name": name}
@@ -110,11 +110,11 @@
             one = Process(Path(folder), "solo", {}, "")
             one.parts["store"] = {"directory": str(one.directory)}
             one.start()
-            store = Asking([one.door], 15.0)
+            store = StoreClient([one.door], 15.0)
             store.put("a", b"1")
             assert one.process is not None
             limits = resource.prlimit(one.process.pid, resource.RLIMIT_FSIZE, (1, -1))
-            quick = Asking([one.door], 0.3)
+            quick = StoreClient([one.door], 0.3)
             with self.assertRaises(Failed):
                 quick.change("txn", puts=[{"name": "b", "value": "eA=="}])
             wait_for(lambda: one.status()["disk_fails"], "the disk to be found out")
@@ -135,30 +135,30 @@
         with side() as it, tempfile.TemporaryDirectory() as folder:
             store = {"directory": folder, "name": "d1"}
             old = it.serving(store=store)
-            asking = Asking([old.at["management"]], 15.0)
-            asking.put("a", b"1")
-            asking.put("orders/workers/h1", orders.Order(cordon=True).pack())
+            client = StoreClient([old.at["management"]], 15.0)
+            client.put("a", b"1")
+            client.put("orders/workers/h1", orders.Order(cordon=True).pack())
             new = it.serving(store=store)
             said(old, TOOK)
-            asking.put("b", b"2")  # the old one is the member still
-            quick = Asking([new.at["management"]], 0.3)
+            client.put("b", b"2")  # the old one is the member still
+            quick = StoreClient([new.at["management"]], 0.3)
             with self.assertRaisesRegex(Failed, "ask at its door"):
                 quick.get("a")
             old.process.send_signal(signal.SIGTERM)
             self.assertEqual(old.process.wait(20), 0)
-            asking = Asking([new.at["management"]], 15.0)
-            self.assertEqual((asking.get("a")[0], asking.get("b")[0]), (b"1", b"2"))
+            client = StoreClient([new.at["management"]], 15.0)
+            self.assertEqual((client.get("a")[0], client.get("b")[0]), (b"1", b"2"))
             said(new, "order for worker h1")
 
 
 class Together(unittest.TestCase):
     def test_it_outlives_its_leader_and_misses_nothing(self) -> None:
         with cluster() as it:
-            store = it.asking()
+            store = it.store_client()
             seen: list[tuple[int, str]] = []
 
             def look() -> None:
-                for event in it.asking().watch("w/", 0):
+                for event in it.store_client().watch("w/", 0):
                     seen.append((event["revision"], event["name"]))
 
             threading.Thread(target=look, daemon=True).start()
@@ -179,14 +179,14 @@
 
     def test_without_a_majority_it_says_so_and_old_reads_go_on(self) -> None:
         with cluster() as it:
-            store = it.asking()
+            store = it.store_client()
             store.put("a", b"1")
             it.together()
             lead = it.leader()
             for name in it.all:
                 if name != lead:
                     it.all[name].kill()
-            left = it.asking(0.5, lead)
+            left = it.store_client(0.5, lead)
             wait_for(lambda: it.all[lead].status()["role"] != "leader", "it to step down")
             for call in (lambda: left.put("a", b"2"), lambda: left.get("a")):
                 with self.assertRaises(Failed) as failed:
@@ -202,10 +202,10 @@
 
     def test_it_grows_from_one_to_three_under_load_and_lets_the_first_go(self) -> None:
         with cluster(1) as it:
-            store, stop, done = it.asking(), threading.Event(), []
+            store, stop, done = it.store_client(), threading.Event(), []
 
             def load() -> None:
-                mine = it.asking(20.0, "m0")
+                mine = it.store_client(20.0, "m0")
                 while not stop.is_set():
                     mine.doors = [p.door for p in list(it.all.values()) if p.alive]
                     done.append(mine.put(f"k{len(done)}", b"v")["revision"])
@@ -233,7 +233,7 @@
     def test_a_snapshot_begins_a_new_cluster_without_the_old_ones_votes(self) -> None:
         with cluster() as it, tempfile.TemporaryDirectory() as folder:
             for i in range(30):
-                it.asking().put(f"k{i}", b"%d" % i)
+                it.store_client().put(f"k{i}", b"%d" % i)
             path, door = f"{folder}/saved", it.all["m0"].door
             self.assertEqual(eiderpin("store", "snapshot", "--door", door, path).returncode, 0)
             at = f"127.0.0.1:{free_port()}"
@@ -243,11 +243,11 @@
             self.assertEqual(done.returncode, 0, done.stderr)
             self.assertIn("is not empty", eiderpin(*args, "--member", f"fresh={at}").stderr)
             new.start()
-            store = Asking([new.door], 15.0)
+            store = StoreClient([new.door], 15.0)
             self.assertEqual(store.get("k29")[0], b"29")
             store.put("k30", b"new")
             with self.assertRaises(Failed):
-                it.asking().get("k30")
+                it.store_client().get("k30")
             # A member of the old cluster at that address is refused, with the reason.
             host, port = at.split(":")
             with socket.create_connection((host, int(port)), 5) as sock:
@@ -271,7 +271,7 @@
                     process.start(quick)
                 lead = it.leader()
                 away = next(n for n in it.all if n != lead)
-                store = it.asking()
+                store = it.store_client()
                 store.put("first", b"1")
                 it.all[away].kill()
                 for i in range(200):
@@ -280,36 +280,38 @@
                 it.all[away].start(quick)
                 said = it.together()
                 self.assertGreater(said[away]["snapshot"], 100)
-                self.assertEqual(it.asking(15.0, away).get("k19", stale=True)[0][-3:], b"199")
+                self.assertEqual(it.store_client(15.0, away).get("k19", stale=True)[0][-3:], b"199")
                 it.all[away].kill()
                 it.all[away].start(quick)  # from its own disk
                 it.together()
-                found = it.asking(15.0, away).ask("range", prefix="k", most=100, stale=True)["documents"]
+                found = it.store_client(15.0, away).ask("range", prefix="k", most=100, stale=True)[
+                    "documents"
+                ]
                 self.assertEqual(len(found), 20)
             finally:
                 it.stop()
 
     def test_a_follower_whose_disk_fails_falls_behind_and_comes_back(self) -> None:
         with cluster() as it:
-            store = it.asking()
+            store = it.store_client()
             store.put("a", b"1")
             lead = it.leader()
             limits = resource.prlimit(it.all[lead].process.pid, resource.RLIMIT_FSIZE, (1, -1))  # type: ignore[union-attr]
             store.put("a", b"2")  # another leads
             self.assertNotEqual(it.leader(other_than=lead), lead)
             wait_for(lambda: it.all[lead].status()["disk_fails"], "the disk to be found out")
-            first = it.asking(15.0, lead, *(n for n in it.all if n != lead))
+            first = it.store_client(15.0, lead, *(n for n in it.all if n != lead))
             self.assertEqual(first.get("a")[0], b"2")  # it is asked first, and those behind it answer
             first.doors.sort(key=lambda door: door != it.all[lead].door)
             first.put("a", b"3")
             self.assertTrue(it.all[lead].status()["disk_fails"])
             resource.prlimit(it.all[lead].process.pid, resource.RLIMIT_FSIZE, limits)  # type: ignore[union-attr]
             it.together()
-            self.assertEqual(it.asking(15.0, lead).get("a", stale=True)[0], b"3")
+            self.assertEqual(it.store_client(15.0, lead).get("a", stale=True)[0], b"3")
 
     def test_leases_end_and_take_their_documents_along(self) -> None:
         with cluster() as it:
-            store = it.asking()
+            store = it.store_client()
             lease = store.change("grant", ttl_ms=1000)["lease"]
             store.put("here", b"m0", lease=lease)
             for _ in range(3):
@@ -366,7 +368,7 @@
                     if not why:
                         sock.sendall(frame(Beat("x", "m0", 0, 0, 0)) + b"\0\0\0\1\xc1")
                         self.assertEqual(sock.recv(100), b"")  # what makes no sense ends it
-            self.assertGreater(it.asking().put("a", b"1")["revision"], 0)
+            self.assertGreater(it.store_client().put("a", b"1")["revision"], 0)
 
     def test_frames_cut_anywhere(self) -> None:
         data = MAGIC + frame(Hello(1, "c", "a", "b")) + frame(Welcome(1, "no"))
@@ -428,7 +430,7 @@
                 alive = [p for n, p in it.all.items() if n != gone]
                 wait_for(lambda: all("2 dispatchers share" in p.log() for p in alive), "the new shares")
                 # A document that makes no sense is told of, and the order that stood is kept.
-                it.asking().put("orders/workers/w1", b"{")
+                it.store_client().put("orders/workers/w1", b"{")
                 wait_for(lambda: all("w1 is not followed" in p.log() for p in alive), "the warning")
             finally:
                 it.stop()
@@ -468,7 +470,7 @@
                 path.write_text("{")
                 self.assertIn("not JSON", run("set", str(path), code=2))
                 self.assertEqual(eiderpin("config", "check", str(path)).returncode, 2)
-                it.asking().put("config/current", b"3\n{}")  # by hand, past all checks
+                it.store_client().put("config/current", b"3\n{}")  # by hand, past all checks
                 all_say("configuration version 3 not taken")
                 wait_for(lambda: run("show").count("version 3 not taken") == 3, "all to tell of it")
                 self.assertEqual(http_call(edge, "POST", "/time-lookup", Req_Id="q3")[0], 200)
@@ -541,7 +543,7 @@
             worker.back = f"127.0.0.1:{one.edge}"
             one.start()
             try:
-                store = Asking([one.door], 15.0)
+                store = StoreClient([one.door], 15.0)
                 store.ask("status")
                 wait_for(lambda: http_call(worker.back, "GET", "/_health")[0] == 200, "it to be ready")
                 store.put("orders/workers/w1", orders.Order(slots=2).pack())
@@ -575,7 +577,7 @@
             plain["workers"] = [{"name": "w1", "address": f"127.0.0.1:{worker.port}"}]
             path.write_text(json.dumps(plain))
             worker.back = f"127.0.0.1:{one.edge}"
-            store = Asking([one.door], 15.0)
+            store = StoreClient([one.door], 15.0)
 
             def told() -> bool:
                 assert one.process is not None
