Show an observer's status by `eiderpin store status`, and note each stage of its start at once

The command failed with a KeyError at an observer's door. A start was looked at once a second, so an observer asked for less of the traffic for up to a second longer than it had to. The slopes gain documents.

--- a/benchmarks/scale/slopes.py
+++ b/benchmarks/scale/slopes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import base64
 import multiprocessing
 import tempfile
 import threading
@@ -22,6 +23,7 @@
 PEER_JOIN_WITHIN = 90.0  # s for a cluster to come together
 WINDOW = 5.0  # s over which a share of a core is taken
 VALUE = b"x" * 200  # of a document that is put
+BATCH = 100  # documents that are put at once
 POSTS, CLIENTS = 3_000, 48
 
 
@@ -174,6 +176,28 @@
     collector.measure_rows("commits", "", "changes", [400, 1600, 6400], point)
 
 
+def documents(collector: Collector) -> None:
+    """What members use, with nothing to do, against the number of documents of 200 bytes."""
+
+    def point(size: float) -> dict[str, list[float]]:
+        with tempfile.TemporaryDirectory() as folder:
+            cluster = Cluster(Path(folder), 3)
+            try:
+                cluster.start()
+                store = cluster.store_client(30.0, cluster.leader())
+                value = base64.b64encode(VALUE).decode()
+                for first in range(0, int(size), BATCH):
+                    puts = [{"name": f"d{first + n:06d}", "value": value} for n in range(BATCH)]
+                    store.change("txn", puts=puts)
+                store.close()
+                time.sleep(3.0)
+                return windows(collector, lambda: shares(cluster))
+            finally:
+                cluster.stop()
+
+    collector.measure_rows("documents", "", "documents", [100, 5_000, 20_000], point)
+
+
 def observers(collector: Collector) -> None:
     """What members and observers use, with nothing to do, against the number of observers; and how long all
     of them take to be current again when they begin at once."""
@@ -207,5 +231,5 @@
 
 PARTS: dict[str, Callable[[Collector], None]] = {
     "baseline": baseline, "decisions": decide, "membership": membership, "network": network, "peers": peers,
-    "commits": commits, "observers": observers,
+    "commits": commits, "documents": documents, "observers": observers,
 }  # fmt: skip
--- a/eiderpin/cli/store.py
+++ b/eiderpin/cli/store.py
@@ -62,12 +62,16 @@
 @door
 @click.option("--json", "as_json", is_flag=True)
 def status(doors: str, as_json: bool) -> None:
-    """How the member behind the door stands."""
+    """How the member behind the door stands, or the dispatcher that only follows the store."""
     with store_client(doors) as s:
         said = s.ask("status")
     if as_json:
         click.echo(json.dumps(said, indent=1))
         return
+    if "observer" in said:
+        for name, value in said["observer"].items():
+            click.echo(f"{name:10} {value or '-'}")
+        return
     for name in ("name", "cluster", "generation", "disk", "role", "leader", "term", "revision", "documents",
                  "bytes", "last", "commit", "applied", "snapshot"):  # fmt: skip
         click.echo(f"{name:10} {said[name] or '-'}")
--- a/eiderpin/fleet/control_plane.py
+++ b/eiderpin/fleet/control_plane.py
@@ -80,6 +80,7 @@
 
     def report(self, revision: int) -> Report:
         """What is in force here."""
+        self._note_stage()
         config = self.documents.config
         about = {
             **self.about(),
@@ -94,13 +95,16 @@
         """How far the start has come."""
         return self.comeback.stage(self.loop.clock.now()).value
 
-    def _refresh(self) -> None:
-        now = self.loop.clock.now()
-        self.loop.deadlines.set(now + REFRESH_EVERY, self._refresh)
+    def _note_stage(self) -> None:
+        """Note how far the start has come; it is asked for after whatever the member says."""
         current = self.observer.current_at is not None
         known = self.observer.standing is not Standing.UNKNOWN
-        if self.comeback.note(now, self.listed(), current, known):
+        if self.comeback.note(self.loop.clock.now(), self.listed(), current, known):
             self.say(f"control plane: {self.observer.subscription.name} is whole")
+
+    def _refresh(self) -> None:
+        self.loop.deadlines.set(self.loop.clock.now() + REFRESH_EVERY, self._refresh)
+        self._note_stage()
         self.observer.refresh()
 
     # -- what operators ask
