--- a/eiderpin/cli/store.py
+++ b/eiderpin/cli/store.py
@@ -98,7 +98,10 @@
 def members(doors: str) -> None:
     """Who the members are."""
     with store_client(doors) as s:
-        _members(s.ask("status"))
+        said = s.ask("status")
+        if "observer" in said:
+            raise Failed("no-leader", "this dispatcher is no member of the store: ask at a member's door")
+        _members(said)
 
 
 @store.command()
--- a/tests/test_observers.py
+++ b/tests/test_observers.py
@@ -149,6 +149,8 @@
             wait_for(lambda: "in force at 5 of 5 dispatchers, everywhere after" in shown(), "it to be known")
             status = eiderpin("store", "status", "--door", it.observers["d1"].door).stdout
             self.assertRegex(status, r"(?m)^standing +known$")
+            refused = eiderpin("store", "members", "--door", it.observers["d1"].door)
+            self.assertEqual((refused.returncode, "no member" in refused.stderr), (3, True))
             listed = eiderpin("dispatchers", "--door", it.cluster.all["m1"].door).stdout
             self.assertEqual(
                 [line.split()[0] for line in listed.splitlines()], ["m0", "m1", "m2", "d1", "d2"]
