Do not hold late jobs back for an attempt that was sent a moment ago

Ruled out: the call-backs (all 3,000 counted, none lost), the stand-in (it tells of starts or not: the same), the connections. By a line at each question: some jobs were late in the first moments, and from then on gave way, for there was nearly always an attempt of ours whose start had not been told yet, though it came some milliseconds later and 48 slots were free.

What has waited for longer than `START_LATE`, where there is room, still holds them back, and so do starts that take long lately. The new test fails without.

--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -174,3 +174,18 @@
     assert bool(got) is (beside == "nothing" or (late < START_LATE and beside == "one that runs"))
     in_time = api.Request(901, "read", 4000.0, hint=50.0)
     assert sends(d.handle(1230.0, [in_time])) + turns(d, 1240.0, 60.0)  # which is held back by none of it
+
+
+def test_late_jobs_go_together_while_starts_come_at_once() -> None:
+    """What was sent a moment ago is no sign that there is no room: else late jobs leave one by one, and as
+    long as others keep coming hardly at all. What has waited for long is such a sign."""
+    d = told(1, 8)
+    d.handle(1000.0, [listed(fleet(8)[::2])])  # of one zone
+    read = d.s.classes[0]
+    read.aim, read.aim_stretch, read.late_worth = 300.0, 0.0, 0.5
+    for _ in range(40):
+        d.hear_start(20.0)
+    late = [api.Request(n, "read", 4000.0, hint=1000.0) for n in range(4)]
+    assert len(sends(d.handle(1010.0, late)) + turns(d, 1020.0, 60.0)) == len(late)
+    one_more = api.Request(99, "read", 4000.0, hint=1000.0)
+    assert not sends(d.handle(1010.0 + START_LATE + 80.0, [one_more])) + turns(d, 1200.0, 60.0)
