--- a/benchmarks/scale/run.py
+++ b/benchmarks/scale/run.py
@@ -235,9 +235,8 @@
     run.change_every(1.0, max(10, min(60, int(seconds))))
 
 
-def member_killed(run: Run, seconds: float) -> None:
-    """A follower is killed, and started again at the end."""
-    name = run.follower()
+def kill_and_restart(run: Run, name: str, seconds: float) -> None:
+    """A member is killed, and started again at the end; changes before, meanwhile and after."""
     run.change_every(2.0, 2)
     run.fleet.cluster.all[name].kill()
     run.notes["killed"] = name
@@ -246,15 +245,14 @@
     run.change_every(2.0, max(3, int(seconds / 4)))
 
 
+def member_killed(run: Run, seconds: float) -> None:
+    """A follower is killed."""
+    kill_and_restart(run, run.follower(), seconds)
+
+
 def leader_killed(run: Run, seconds: float) -> None:
-    """The leader is killed, and started again at the end."""
-    name = run.leader()
-    run.change_every(2.0, 2)
-    run.fleet.cluster.all[name].kill()
-    run.notes["killed"] = name
-    run.change_every(2.0, max(3, int(seconds / 4)))
-    run.fleet.cluster.all[name].start()
-    run.change_every(2.0, max(3, int(seconds / 4)))
+    """The leader is killed."""
+    kill_and_restart(run, run.leader(), seconds)
 
 
 def member_frozen(run: Run, seconds: float) -> None:
