--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -9,7 +9,6 @@
 import socket
 import sys
 import tempfile
-from collections.abc import Callable
 from dataclasses import fields
 from typing import TYPE_CHECKING, Any
 
@@ -48,7 +47,6 @@
     from eiderpin.parts.observer import FollowOptions
     from eiderpin.parts.store import Options as StoreOptions
     from eiderpin.store.host import StoreHost
-    from eiderpin.store.observer_server import ObserverServer
 
 LINGER = 600.0  # ms after SIGTERM in which new connections may still come
 SETTLE = 400.0  # ms after a drain in which the front may still send new clients: idle ones are not yet closed
@@ -88,7 +86,6 @@
         self.ledger = self.own_ledger(config.durable) if config.durable is not None else None
         self.store: StoreHost | None = None
         self.shared_state: SharedState | None = None
-        self.observer_server: ObserverServer | None = None
         self.control_plane: ControlPlane | None = None
         self.gearman: GearmanFront | None = None
         self.agent_check: AgentCheck | None = None
@@ -203,7 +200,7 @@
             self.store, self.core, options.name, self.about, self.take_shared, self.say, warn
         )
         if options.observers is not None:
-            self.serve_observers(self.store, options, warn)
+            self.serve_observers(self.store, options)
         self.shared_state.on_fenced = self.changed
         source = self.discovery
         self.shared_state.listed = lambda: source is None or source.told
@@ -213,18 +210,17 @@
             life = self.shared_state.life
             self.core.keeper = Outcomes(self.store, self.core, options.outcomes, options.keep, life)
 
-    def serve_observers(self, store: StoreHost, options: StoreOptions, warn: Callable[[str], None]) -> None:
+    def serve_observers(self, store: StoreHost, options: StoreOptions) -> None:
         """Serve dispatchers that follow the store. Raises `ConfigError`."""
         from eiderpin.store.observer_server import ObserverServer
 
         assert options.observers is not None
         try:
-            self.observer_server = ObserverServer(
-                self.loop, self.counters, store.member, options.observers, warn, options.most_observers
+            store.observers = ObserverServer(
+                self.loop, self.counters, store.member, options.observers, options.most_observers
             )
         except OSError as error:
             raise ConfigError(f"store.observers.listen: {error}") from None
-        store.observers = self.observer_server
 
     def follow_store(self, options: FollowOptions) -> None:
         """Begin as an observer of the store; beside an older process, once that one has ended, for both have
--- a/eiderpin/store/observer_server.py
+++ b/eiderpin/store/observer_server.py
@@ -68,11 +68,10 @@
         counters: Counters,
         member: Member,
         listen: tuple[str, int],
-        warn: Callable[[str], None],
         most: int = MOST_OBSERVERS,
     ) -> None:
         """Listen, and begin to announce."""
-        self.loop, self.counters, self.member, self.warn = loop, counters, member, warn
+        self.loop, self.counters, self.member = loop, counters, member
         now = loop.clock.now()
         born = member.born
         self.sessions = ObserverSessions(
--- a/tests/observer_sim.py
+++ b/tests/observer_sim.py
@@ -255,7 +255,7 @@
         process = self.processes[name] = Process(self, name)
         with mock.patch.object(observer_server, "Listener", SimListener):
             self.servers[name] = self.server(
-                SimLoop(process), Counters(), member, (name, 0), lambda text: None  # type: ignore[arg-type]
+                SimLoop(process), Counters(), member, (name, 0)  # type: ignore[arg-type]
             )  # fmt: skip
 
     def kill(self, name: str) -> None:
