--- a/tests/test_observers.py
+++ b/tests/test_observers.py
@@ -24,9 +24,11 @@
 from eiderpin.store.client import Failed
 from eiderpin.store.fleet_view import documents, live_observers
 from eiderpin.store.names import OBSERVERS
+from eiderpin.store.observer_registry import FENCE_AFTER
 from eiderpin.store.orders import Order
 from tests.standins import http_call, wait_for
 from tests.test_command import eiderpin
+from tests.test_upgrade import TOOK, said, side
 
 LONG = 60.0  # s; what may take several time-outs, on a machine that does other things as well
 WORKER_ORDER = "orders/workers/w1"
@@ -114,7 +116,12 @@
 
 def ask(process: Process, call: str) -> str:
     """One call at a dispatcher's management address."""
-    with socket.create_connection(address(process.door, "door"), 5.0) as sock:
+    return ask_at(process.door, call)
+
+
+def ask_at(where: str, call: str) -> str:
+    """One call at a management address."""
+    with socket.create_connection(address(where, "door"), 5.0) as sock:
         sock.sendall(call.encode() + b"\n")
         with sock.makefile() as file:
             return file.readline().strip()
@@ -268,6 +275,23 @@
             time.sleep(5.0)  # longer than a contest takes
             self.assertEqual(it.status(second)["standing"], "known")
 
+    def test_in_an_upgrade_the_name_changes_hands_and_nobody_is_fenced(self) -> None:
+        with fleet(members=1) as it, side() as beside:
+            store = {"follow": it.cluster.observer_addresses, "name": "d1", "cluster": "c1"}
+            old = beside.serving(store=store)
+            wait_for(lambda: list(it.announced()) == ["d1"], "the old one to be known")
+            new = beside.serving(store=store)
+            said(old, TOOK)
+            it.put_order(4.0)
+            said(old, "slots=4.0")  # it is the observer still
+            time.sleep(FENCE_AFTER / 1000.0 + 1.0)  # two with one name would be told by now
+            old.process.send_signal(signal.SIGTERM)
+            self.assertEqual(old.process.wait(20), 0)
+            said(new, "slots=4.0")
+            wait_for(lambda: list(it.announced()) == ["d1"], "the new one to be known")
+            fenced = [line for line in (*old.lines, *new.lines) if "fenced" in line]
+            self.assertEqual(fenced, [])
+
     def test_a_member_that_is_full_refuses_and_others_serve(self) -> None:
         with fleet("d1", "d2", "d3", limit=1) as it:
             self.assertEqual(sorted(it.announced().values()), ["m0", "m1", "m2"])
