--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -362,8 +362,7 @@
         self.resting: list[tuple[float, str]] = []
         self.gathering: dict[Kind, Gathering] = {}
         self.waiting: Counter[str] = Counter()  # attempts of ours that wait for their start, by zone ...
-        self.overdue: Counter[str] = Counter()  # ... for longer than where there is room ...
-        self.most_waiting = 0  # ... and how many may wait
+        self.most_waiting = 0  # ... and how many may
         self.waits = 0  # so many waits have begun
         self.leaving: list[tuple[float, int, int, Job]] = []  # when a job that waits may leave its zone
         self.gather = max(GATHER * min(c.aim for c in settings.classes), GATHER_TICKS * settings.tick)
@@ -797,10 +796,11 @@
         """How many jobs of ours wait for their start, by zone, and may. What waits at a worker waits before
         jobs of all dispatchers, and cannot be moved; here it leaves by worth, to who is free first. Among
         many dispatchers each sees too little of a worker to know of its queue, but its own starts tell."""
-        since = self.now - self.silence()
-        open_ = [a for a in self.unstarted if a.sent > since and not (a.lost or self.settled(a))]
-        self.waiting = Counter(a.worker.zone for a in open_)
-        self.overdue = Counter(a.worker.zone for a in open_ if a.sent <= self.now - START_LATE)
+        self.waiting = Counter()
+        if self.s.tells_start:
+            since = self.now - self.silence()
+            open_ = (a for a in self.unstarted if a.sent > since and not (a.lost or self.settled(a)))
+            self.waiting.update(a.worker.zone for a in open_)
         running = sum(a.started >= 0 for a in self.attempts.values())
         part = WAITING * len(self.everyone.items) / self.s.instances
         self.most_waiting = int(max(WAITING_LEAST, part, WAITING_SHARE * running))
@@ -839,10 +839,10 @@
 
     def gives_way(self, job: Job, zone: str) -> bool:
         """Whether a job, late at typical speed or beyond its tenant's share, is to wait for room to show in
-        our own starts: at a worker it would stand before jobs of other dispatchers that are in time. One that
-        was sent a moment ago shows nothing yet. With nothing of ours out, one may look."""
+        our own starts: at a worker it would stand before jobs of other dispatchers that are in time. With
+        nothing of ours out, one may look."""
         last = job.scale < 1.0 or self.now + self.slow_mean * job.work > job.aim_at
-        return last and bool(self.overdue[zone] or (self.start > START_LATE and self.attempts))
+        return last and bool(self.waiting[zone] or (self.start > START_LATE and self.attempts))
 
     def still_waits(self, job: Job) -> bool:
         """Recheck at the round what held when the job joined it: a memory span may have run out since."""
