Give a member up in one place, and name no member that is not used

Seen in reading the change again: an observer ended a connection and went on in three places by the same two calls, was told of a better member that it then looked up anew, and drew its return from a range of which one end alone was used. Rules, simulation and processes pass.

--- a/eiderpin/fleet/observer.py
+++ b/eiderpin/fleet/observer.py
@@ -40,8 +40,8 @@
 STALE = 3_000.0  # for which a member may have heard of no leader before another one is tried
 SPREAD = 500.0  # after a connection that worked has broken, all of its observers come back within this
 START_SPREAD = 300.0
-RETURN_AFTER = (20_000.0, 40_000.0)  # at another than the first choice, which is tried again then ...
-RETURN_LONGEST = 320_000.0  # ... and later and later, up to this
+RETURN_AFTER = 40_000.0  # half of this to all of it at another than the first choice; then that is tried
+RETURN_LONGEST = 320_000.0  # it doubles each time, up to this
 WARN_AGE = 30_000.0  # of the copy, after which the log says so once
 
 
@@ -109,7 +109,7 @@
         self._silent_at: Deadline | None = None
         self._retry_at: Deadline | None = None
         self._return_at: Deadline | None = None
-        self._return_bound = RETURN_AFTER[1]
+        self._return_bound = RETURN_AFTER
         self._reported: Report | None = None
         self._warned = False
         self._closed = False
@@ -157,6 +157,10 @@
 
     def _silent(self) -> None:
         self.counters.add("observer.silent")
+        self._give_up()
+
+    def _give_up(self) -> None:
+        """End the connection ourselves, and go on as when it had ended."""
         self._disconnect()
         self._lost()
 
@@ -192,8 +196,8 @@
         if self.endpoint is not None:
             self.choice.avoid(self.endpoint.member, self.loop.clock.now())
 
-    def _leave_for(self, better: Endpoint) -> None:
-        """Change to another member; the copy goes on from where it is."""
+    def _move(self) -> None:
+        """Change to the member that is best now; the copy goes on from where it is."""
         self.counters.add("observer.moves")
         self._disconnect()
         self.subscribed = False
@@ -225,8 +229,7 @@
         member = self.endpoint.member if self.endpoint is not None else ""
         self.counters.add(f"observer.violation.{violation.value}")
         self.warn(f"control plane: member {member} is given up: {text}")
-        self._disconnect()
-        self._lost()
+        self._give_up()
 
     def _note_subscribed(self) -> None:
         """The member has accepted us."""
@@ -240,11 +243,11 @@
             self._return_bound = min(RETURN_LONGEST, self._return_bound * 2)
             self._return_at = self.loop.deadlines.set(self.loop.clock.now() + wait, self._return)
         else:
-            self._return_bound = RETURN_AFTER[1]
+            self._return_bound = RETURN_AFTER
 
     def _return(self) -> None:
         """Try the first choice again, so that load returns to a member that was away."""
-        self._leave_for(self.choice.first)
+        self._move()
 
     def _take(self, update: Update) -> None:
         if isinstance(update, Reply):
@@ -268,8 +271,7 @@
         member = self.endpoint.member if self.endpoint is not None else ""
         if refused.kind != Rejection.CLOSING.value:
             self.warn(f"control plane: member {member} refuses: {refused.reason}")
-        self._disconnect()
-        self._lost()
+        self._give_up()
 
     def _note_current(self, stale_ms: float) -> None:
         now = self.loop.clock.now()
@@ -281,9 +283,8 @@
             return
         self._avoid()  # it hears of no leader: another one may
         self._look_at_age()
-        better = self.choice.best(now)
-        if better is not None:
-            self._leave_for(better)
+        if self.choice.best(now) is not None:
+            self._move()
 
     def _look_at_age(self) -> None:
         """Tell operators once that the copy has grown old, and once that it is up to date again."""
