Tell in the log that the program was told to end, and why each request ended

Need: a dispatcher killed after SIGTERM left a log that says neither that it was told to end nor what it still held, and no log said why a request had ended. Change: an event at SIGTERM with requests, attempts and connections that are open, one at each SIGHUP; counts end.REASON; at debug level every attempt's steps (sent, out whole, ended) and every request's end with its reason and attempts, all by the same field names (core/request_log.py; 'job' is 'request' there now). test_command.py follows the event's new name, as strict as before. Checked: the whole suite, 591 passed, one failed (it reads the line that names what needs a restart, which had been reworded here; the wording is as it was again, and test_edge, test_command and test_quality pass).

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import math
 from collections import OrderedDict
 from collections.abc import Iterable
@@ -11,12 +10,13 @@
 
 from eiderpin import decide
 from eiderpin import interface as api
-from eiderpin.core import learned
+from eiderpin.core import learned, request_log
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Clock, Deadline, Deadlines
 from eiderpin.core.durability import Keeper, OtherJob
 from eiderpin.core.invariants import must
 from eiderpin.core.learned import Learned
+from eiderpin.core.request_log import EndReason
 from eiderpin.core.requests import (
     FAILED,
     Answer,
@@ -29,8 +29,6 @@
 )
 from eiderpin.core.slot_table import SlotTable, TableFull
 
-log = logging.getLogger("eiderpin")
-
 ANSWER_MARGIN = 15.0  # ms before a client's deadline at which its answer is due: it has to travel
 GRACE_MARGIN = 50.0  # ms of a drain's grace that are left unused
 WAIT_ADVICE = 500.0  # ms told to a turned-down client where the decisions name no figure
@@ -138,7 +136,7 @@
         try:
             request.id = self.requests.add(request)
         except TableFull:
-            self._finish(request, self.turned_down(math.inf))
+            self._finish(request, self.turned_down(math.inf), EndReason.NO_ROOM)
             return request
         self.outstanding += 1
         request.backstop = self.deadlines.set(request.deadline, lambda: self._overdue(request))
@@ -200,7 +198,7 @@
             return
         self.counters.add("in.clients_gone")
         self._events.append(api.RequestGone(request.id))
-        self._finish(request, None)
+        self._finish(request, None, EndReason.CLIENT_LEFT)
 
     def turn_down(self, request: Request) -> None:
         """It could not be taken on after all, and nothing of it has been sent."""
@@ -210,7 +208,7 @@
 
     def _not_taken(self, request: Request) -> None:
         self.counters.add("in.not_durable")
-        self._finish(request, self.turned_down())
+        self._finish(request, self.turned_down(), EndReason.NOT_DURABLE)
 
     def detach(self, request: Request, waiter: EdgeSide) -> None:
         """As `leave`, but what has begun of a job that must not run twice is waited for, so that a
@@ -303,6 +301,7 @@
         """The whole of a send is out: from here on it may have run."""
         attempt.may_have_run = True
         self.counters.add("out.attempts")
+        request_log.attempt_event("an attempt is out whole", attempt)
 
     def ended(
         self, attempt: Attempt, outcome: api.Outcome, result: bytes = b"", stale: bool = False,
@@ -318,17 +317,20 @@
             attempt.may_have_run = False
         self.counters.add(f"out.ended.{outcome.value}")
         request = attempt.request
-        if log.isEnabledFor(logging.DEBUG):
-            fields = {"job": request.wire_id or request.unique, "attempt": attempt.number,
-                      "worker": attempt.entry.name, "outcome": outcome.value,
-                      "ms": round(self.clock.now() - attempt.made_at, 1)}  # fmt: skip
-            log.debug("an attempt has ended", extra=fields)
+        request_log.attempt_event(
+            "an attempt has ended",
+            attempt,
+            outcome=outcome.value,
+            ms=round(self.clock.now() - attempt.made_at, 1),
+        )
         if request.job and self.keeper is not None:
             self.keeper.released(attempt, outcome)
         if outcome is api.Outcome.DONE and not request.ended:
-            self._finish(request, Answer(Verdict.SERVED, result))
+            self._finish(request, Answer(Verdict.SERVED, result), EndReason.RESULT)
         elif request.abandoned and not request.wanted and all(s.ended for s in request.attempts):
-            self._finish(request, None)  # its client has gone: no further attempt begins
+            self._finish(
+                request, None, EndReason.CLIENT_LEFT
+            )  # its client has gone: no further attempt begins
         self._events.append(
             api.AttemptEnded(
                 request.id, attempt.number, attempt.entry.name, outcome,
@@ -416,7 +418,7 @@
         """A worker finished an attempt that had been counted as ended: its result is as good as any."""
         if not request.ended:
             self._events.append(api.RequestGone(request.id))
-            self._finish(request, Answer(Verdict.SERVED, result))
+            self._finish(request, Answer(Verdict.SERVED, result), EndReason.LATE_RESULT)
         elif (
             request.unique and self._kept.get((request.cls, request.unique), (0.0, None, False))[1] == FAILED
         ):
@@ -450,9 +452,9 @@
         elif isinstance(action, api.Refuse | api.Fail):
             request = self.requests.get(action.request)
             if request is not None and isinstance(action, api.Refuse):
-                self._finish(request, self.turned_down(action.wait))
+                self._finish(request, self.turned_down(action.wait), EndReason.REFUSED)
             elif request is not None:
-                self._finish(request, FAILED)
+                self._finish(request, FAILED, EndReason.FAILED)
         elif isinstance(action, api.SetTimer):
             handle = action.handle
             self.deadlines.set(action.at, lambda: self._events.append(api.TimerFired(handle)))
@@ -476,13 +478,7 @@
         timeout = left if action.timeout is None else min(left, action.timeout)
         attempt = Attempt(request, len(request.attempts), entry, now, timeout)
         request.attempts.append(attempt)
-        if log.isEnabledFor(logging.DEBUG):
-            fields = {
-                "job": request.wire_id or request.unique,
-                "attempt": attempt.number,
-                "worker": entry.name,
-            }
-            log.debug("an attempt is sent", extra=fields)
+        request_log.attempt_event("an attempt is sent", attempt, time_out=round(timeout))
         if must(not request.ended, "no send after the end"):
             self._expire(attempt)
             if request.job and self.keeper is not None:
@@ -509,7 +505,7 @@
             self.decide()  # late as we are, theirs may be the word that comes in this very turn
         if not must(request.ended, "every request is answered by its deadline"):
             self._events.append(api.RequestGone(request.id))
-            self._finish(request, FAILED)
+            self._finish(request, FAILED, EndReason.OVERDUE)
 
     # -- the figures
 
@@ -530,11 +526,12 @@
 
     # -- the end of a request
 
-    def _finish(self, request: Request, answer: Answer | None) -> None:
+    def _finish(self, request: Request, answer: Answer | None, why: EndReason) -> None:
         """The request is over; without an answer, since nobody waits for one."""
         if not must(not request.ended, "one final answer per request"):
             return
         request.ended = True
+        self.counters.add(f"end.{why.value}")
         self.deadlines.drop(request.backstop)
         self.outstanding -= request.id >= 0
         if answer is None:
@@ -543,13 +540,7 @@
             self.count_answer(request.cls, answer.verdict)
         self._withdraw(request)
         told, answer = answer is not None and bool(request.waiters), answer or FAILED
-        if log.isEnabledFor(logging.DEBUG):
-            fields = {
-                "job": request.wire_id or request.unique,
-                "class": request.cls,
-                "end": answer.verdict.value,
-            }
-            log.debug("a job has ended", extra=fields)
+        request_log.request_event("a request has ended", request, end=answer.verdict.value, why=why.value)
         if request.job and self.keeper is not None:
             # Until its end is on disk it can be joined, and nobody hears of it.
             self.keeper.end(request, answer, told, lambda answer: self._give(request, answer))
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -408,8 +408,19 @@
         """Begin the planned end: serve what comes, and end once all is answered."""
         if self.stopping_since is None:
             self.stopping_since = self.clock.now()
+            logs.event("told to end", logging.INFO, **self.what_is_open())
             self.changed()
 
+    def what_is_open(self) -> dict[str, int]:
+        """What is still owed or connected, for the log."""
+        attempts = [a for request in self.core.requests.all() for a in request.attempts]
+        return {
+            "outstanding": self.core.outstanding,
+            "attempts": sum(not a.ended for a in attempts),
+            "clients": len(self.edge.connections),
+            "server_connections": len(self.workers.open),
+        }
+
     def drain(self) -> str:
         """The operators' `drain`: send clients away, until `resume`."""
         if self.handed_over:
@@ -439,8 +450,7 @@
             return
         self.counters.add("in.reloads")
         stay = self.take(new)
-        if stay:
-            self.say(f"reloaded; a restart is needed for: {', '.join(stay)}")
+        self.say(f"reloaded; a restart is needed for: {', '.join(stay)}" if stay else "reloaded")
 
     def take(self, new: Config) -> list[str]:
         """Apply what can be applied at once; returns what takes a restart."""
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -89,7 +89,7 @@
                     with running([HttpWorker("h1")]) as (program, _):
                         http_call(program.edge, "POST", "/time-lookup", Req_Id="a1")
                         program.counters()  # all before this has been written
-                        told = [x for x in program.lines if "a job has ended" in x and "job=a1" in x]
+                        told = [x for x in program.lines if "a request has ended" in x and "request=a1" in x]
                         self.assertEqual(len(told), lines)
                 finally:
                     del os.environ["EIDERPIN_LOG_LEVEL"]
