Answer every request of a stopping dispatcher before the earliest SIGKILL

Cause: a request's end was bound by its client's deadline alone, and the planned end waited for all answers however long that took (Service.over, core.Dispatcher.submit). SIGKILL comes as early as the longest deadline (3 s at most) and 0.7 s after SIGTERM. At a server that hangs nothing ends a request before that. Ruled out: see docs/incidents (call-backs, a cancel without an answer, an answer that was not written). All deadlines are cut to it, so the decisions end each request by their own rules: refused where that is harmless, else failed; new requests know from the start how little time there is. What a front has read and not answered by then, for a disk or a process beside it, is answered there; durable jobs go on without those who wait. After that the listener is closed and every connection ends in order. A successor that serves gets the jobs with their full time. shutdown.py holds the planned end, which was spread over Service.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 from collections import OrderedDict
 from collections.abc import Iterable
@@ -84,6 +85,7 @@
         self.orders: WorkerOrders | None = None  # of the operators; None: there are none
         self.source: ListSource | None = None  # None: lists come unasked
         self.outstanding = 0  # jobs taken and not ended
+        self.answers_by = math.inf  # when the last answer is due, where the process is about to end
         self._events: list[api.Event] = []
         self._timers: dict[int, Deadline] = {}
 
@@ -99,7 +101,11 @@
         now = self.clock.now()
         name = (request.cls, request.unique)
         self.counters.add("in.requests")
-        keeper = self.keeper if self.is_durable(request.cls) else None
+        # With no time left it is not taken on: the decisions refuse it at once.
+        takes_on = self.is_durable(request.cls) and now < self.answers_by
+        keeper = self.keeper if takes_on else None
+        if keeper is None:
+            self._cut_short(request)
         if request.unique:
             open_request = self._by_unique.get(name)
             kept = self._kept.get(name)
@@ -139,7 +145,7 @@
             self._finish(request, self.turned_down(math.inf), EndReason.NO_ROOM)
             return request
         self.outstanding += 1
-        request.backstop = self.deadlines.set(request.deadline, lambda: self._overdue(request))
+        request.backstop = self._backstop(request)
         request.wire_id = self._wire_name(request.unique)
         self._by_wire[request.wire_id] = request
         if keeper is not None and not keeper.take(request):
@@ -169,6 +175,49 @@
             request.priority,
         )
 
+    # -- the planned end
+
+    def answer_by(self, at: float) -> None:
+        """The process is about to end: no answer may be due later than `at`. Durable jobs go on after it."""
+        self.answers_by = min(self.answers_by, at)
+        now = self.clock.now()
+        for request in self.requests.all():
+            if request.ended or request.job or not self._cut_short(request):
+                continue
+            self.deadlines.drop(request.backstop)
+            request.backstop = self._backstop(request)
+            for attempt in request.attempts:
+                self._cut_attempt(attempt)
+            self._events.append(api.DeadlineMoved(request.id, request.deadline - ANSWER_MARGIN - now))
+
+    def _cut_short(self, request: Request) -> bool:
+        """Bound a request's deadline by the end of the process; whether that made it earlier."""
+        if request.deadline <= self.answers_by:
+            return False
+        request.deadline = self.answers_by
+        request.cut_short = True
+        return True
+
+    def _cut_attempt(self, attempt: Attempt) -> None:
+        left = attempt.request.deadline - attempt.made_at
+        if attempt.ended or attempt.timeout <= left:
+            return
+        attempt.timeout = left
+        self.deadlines.drop(attempt.expiry)
+        self._expire(attempt)
+
+    def answer_waiter(self, request: Request, waiter: EdgeSide) -> None:
+        """The process ends before the request does: this one is told so. One who named the job may ask for it
+        again; anybody else is told that it failed, for it may have run."""
+        if waiter in request.waiters:
+            request.waiters.remove(waiter)
+        request.background = request.background or bool(request.job)
+        request_log.request_event("answered as the process ends", request, logging.INFO)
+        waiter.answer(request, self.turned_down() if request.named else FAILED)
+
+    def _backstop(self, request: Request) -> Deadline:
+        return self.deadlines.set(request.deadline, lambda: self._overdue(request))
+
     def _join(self, request: Request, asked: Request, waiter: EdgeSide) -> None:
         """One who joins may give up before the request's own deadline, and is owed an answer by then."""
 
@@ -176,7 +225,7 @@
             if waiter in request.waiters:
                 request.waiters.remove(waiter)
                 self.counters.add("answer.joined_overdue")
-                waiter.answer(request, FAILED)
+                waiter.answer(request, self.turned_down() if asked.cut_short and asked.named else FAILED)
 
         request.waiters.append(waiter)
         if asked.deadline < request.deadline:
@@ -396,7 +445,8 @@
         self.outstanding += 1
         if waiter is not None:
             request.waiters.append(waiter)
-        request.backstop = self.deadlines.set(request.deadline, lambda: self._overdue(request))
+        self._cut_short(request)
+        request.backstop = self._backstop(request)
         if request.unique:
             self._by_unique[name] = request
         self._by_wire[request.wire_id] = request
@@ -540,7 +590,7 @@
             self.count_answer(request.cls, answer.verdict)
         self._withdraw(request)
         told, answer = answer is not None and bool(request.waiters), answer or FAILED
-        request_log.request_event("a request has ended", request, end=answer.verdict.value, why=why.value)
+        self._tell_end(request, answer, why)
         if request.job and self.keeper is not None:
             # Until its end is on disk it can be joined, and nobody hears of it.
             self.keeper.end(request, answer, told, lambda answer: self._give(request, answer))
@@ -548,6 +598,20 @@
             self._give(request, answer)
         self._release(request)
 
+    def _tell_end(self, request: Request, answer: Answer, why: EndReason) -> None:
+        """The log event of a request's end; where the end of the process has caused it, operators see it."""
+        cut = request.cut_short and self.clock.now() >= self.answers_by - ANSWER_MARGIN
+        if cut:
+            self.counters.add("end.cut_short")
+        request_log.request_event(
+            "a request has ended",
+            request,
+            logging.INFO if cut else logging.DEBUG,
+            end=answer.verdict.value,
+            why=why.value,
+            cut_short=cut,
+        )
+
     def _withdraw(self, request: Request) -> None:
         """Of a job that is over nothing more begins. What has not gone out whole is taken back here, at once:
         it never ran, and so that needs no leave to call off what workers have."""
--- a/eiderpin/core/requests.py
+++ b/eiderpin/core/requests.py
@@ -64,6 +64,7 @@
     waiters: list[EdgeSide] = field(default_factory=list)
     attempts: list[Attempt] = field(default_factory=list)  # all that were made, by number
     ended: bool = False
+    cut_short: bool = False  # its deadline is earlier than its client's, since the process ends before
     share: float = 0.0  # done of it, as last told
     idempotency_key: str | None = None  # as the client spelt it; workers see it so on every attempt
 
@@ -72,6 +73,11 @@
         """Bytes that a client sent for it, and that are held while it lasts."""
         return len(self.body) + len(self.idempotency_key or "")
 
+    @property
+    def named(self) -> bool:
+        """Whether its client can ask for it again by its name, and then joins it or gets its kept answer."""
+        return bool(self.unique) and not self.once
+
     @property
     def wanted(self) -> bool:
         """Whether an attempt may still begin: somebody waits for the answer, or it was to go on anyway."""
--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -386,7 +386,7 @@
             api.Request: self.on_request, api.AttemptEnded: self.on_ended, api.Progress: self.on_progress,
             api.Membership: self.on_membership, api.RequestGone: self.on_gone, api.Beside: self.on_beside,
             api.StreamStarted: self.on_stream, api.ProbeEnded: self.on_probed, api.Adopted: self.on_adopted,
-            api.TimerFired: self.on_timer,
+            api.TimerFired: self.on_timer, api.DeadlineMoved: self.on_deadline_moved,
             api.PeerMessage: lambda event: None,  # nothing is asked of peers: each decides alone
         }  # fmt: skip
 
@@ -1107,6 +1107,13 @@
         """When a refused client may come back: by then about one run time's worth of slots is free."""
         return min(self.run_mean, self.s.max_wait_advice) if self.s.may_advise_wait else None
 
+    def on_deadline_moved(self, event: api.DeadlineMoved) -> None:
+        job = self.jobs.get(event.request)
+        if job is not None and self.now + event.expires_in < job.deadline:
+            job.deadline = self.now + event.expires_in
+            job.aim_at = min(job.aim_at, job.deadline)
+            heapq.heappush(self.expiry, (min(job.deadline, self.hopeless_from(job)), job.id))
+
     def on_gone(self, event: api.RequestGone) -> None:
         if (job := self.jobs.get(event.request)) is not None:
             self.end(job)
--- a/eiderpin/interface.py
+++ b/eiderpin/interface.py
@@ -255,6 +255,14 @@
     request: int
 
 
+@dataclass(slots=True)
+class DeadlineMoved:
+    """A request's answer is due earlier than was told: the dispatcher is about to end."""
+
+    request: int
+    expires_in: float
+
+
 @dataclass(slots=True)
 class ProbeEnded:
     worker: str
@@ -306,7 +314,7 @@
 
 Event: TypeAlias = (
     Membership | Request | Progress | StreamStarted | AttemptEnded | RequestGone | ProbeEnded | TimerFired
-    | PeerMessage | Beside | Adopted
+    | PeerMessage | Beside | Adopted | DeadlineMoved
 )  # fmt: skip
 
 
--- a/eiderpin/net/edge.py
+++ b/eiderpin/net/edge.py
@@ -15,7 +15,7 @@
 from eiderpin.core.requests import Answer, Request, Verdict
 from eiderpin.core.slot_table import SlotTable
 from eiderpin.net import http
-from eiderpin.net.loop import Connection, Listener, Loop
+from eiderpin.net.loop import READ, Connection, Listener, Loop
 from eiderpin.net.room import Room, Spare
 
 SWEEP = 5000.0  # ms between looks for edge connections that have stood too long
@@ -162,12 +162,13 @@
     def reply(self, status: int, body: bytes = b"", headers: tuple[str, ...] = ()) -> None:
         self.busy, self.served = False, True
         self.hold(None)
-        if self.conn.closed:
+        if self.conn.closed or self.conn.closing:
             return
         self.last = self.front.loop.clock.now()
         # Who asks for what there is not is left no descriptor to stay on.
         wrong = 400 <= status < 500
-        keep = self.keep and not self.sent_away and not wrong
+        # What has been read behind this request is owed an answer, too.
+        keep = self.keep and not wrong and (not self.sent_away or bool(self.waiting))
         self.conn.write(http.response(status, body, headers, close=not keep))
         if not keep:
             self.close()
@@ -355,8 +356,9 @@
             self.away_at = min(self.away_at, self.loop.clock.now() + after)
             self.look_for_idle()
 
-    def look_for_idle(self) -> None:
-        """Close those who rest. What arrives just then was not taken: its sender sends it again elsewhere."""
+    def look_for_idle(self, at_once: bool = False) -> None:
+        """Close those who rest. What arrives just then was not taken: its sender sends it again elsewhere.
+        `at_once`: those whose first request is on its way, too."""
         now = self.loop.clock.now()
         self.loop.deadlines.drop(self.away_look)
         refuses = self.away is Away.CLIENTS and now >= self.away_at + HALF_SENT
@@ -365,23 +367,37 @@
                 if not edge.sent_away or edge.conn.closing or edge.conn.has_input():
                     continue
                 # The first request of a new connection is on its way, and is answered.
-                if edge.idle and (edge.served or now - edge.last > ON_ITS_WAY):
+                if edge.idle and (at_once or edge.served or now - edge.last > ON_ITS_WAY):
                     edge.close()
                 elif refuses and edge.spare is Spare.HALF:
                     edge.refuse_more()
         self.away_look = self.loop.deadlines.set(max(now + AWAY_EVERY, self.away_at), self.look_for_idle)
 
-    def part(self) -> bool:
+    def part(self, at_once: bool) -> bool:
         """All is answered, and we want to end: whether those who are still connected have been sent off. What
-        of theirs lies unread comes first, and what it leads to needs the listener, for call-backs."""
-        self.look_for_idle()
+        of theirs lies unread comes first, and what it leads to needs the listener, for call-backs. `at_once`:
+        nothing is taken any more, so that nobody is waited for."""
+        if at_once and self.listener.on:
+            self.listener.ready(READ)  # who has come by now is told so
+        self.look_for_idle(at_once)
         for edge in self.connections.all():
             if edge.spare is Spare.HALF and not edge.conn.has_input():
                 edge.refuse_more()
-        if all(edge.conn.closing for edge in self.connections.all()):
+        if at_once or all(edge.conn.closing for edge in self.connections.all()):
             self.listener.pause()
         return not len(self.connections)
 
+    def answer_all(self) -> int:
+        """Answer whatever has been read here and is not answered yet, for the process ends; how many."""
+        busy = [edge for edge in self.connections.all() if edge.busy and not edge.conn.closing]
+        for edge in busy:
+            request = edge.request
+            if request is not None:
+                self.core.answer_waiter(request, edge)
+            else:
+                edge.reply(503)
+        return len(busy)
+
     def quiet(self, halves: bool) -> bool:
         """Whether nobody is owed anything here; with `halves`, nor is a request still on its way."""
         return not any(
--- a/eiderpin/net/gearman_front.py
+++ b/eiderpin/net/gearman_front.py
@@ -249,6 +249,17 @@
 
         return ready
 
+    def answer_all(self) -> int:
+        """Answer all that is open here; how many answers that were."""
+        answered = len(self.open) + len(self.unsaid)
+        unsaid, self.unsaid = self.unsaid, deque()
+        for say, may_be_said in unsaid:
+            (say if may_be_said else self.not_taken)()
+        for submission in list(self.open):
+            if submission.request is not None:
+                self.core.answer_waiter(submission.request, submission)
+        return answered
+
     # -- as a worker
 
     def can_do(self, function: str, timeout: bytes) -> None:
@@ -411,6 +422,13 @@
                 c.conn.close_when_sent()
         self._away = self.loop.deadlines.set(now + AWAY_EVERY, self.look_for_idle)
 
+    def answer_all(self) -> int:
+        """Answer what clients wait for, for the process ends; how many answers that were."""
+        answered = 0
+        for connection in self.connections.all():
+            answered += connection.answer_all()
+        return answered
+
     def next_worker(self) -> int:
         self._workers += 1
         return self._workers
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -32,6 +32,7 @@
 from eiderpin.net.edge import Away, Edge
 from eiderpin.net.loop import Loop
 from eiderpin.net.workers import HttpWorkers
+from eiderpin.shutdown import Shutdown
 
 if TYPE_CHECKING:
     from eiderpin.fleet.comeback import Comeback
@@ -48,12 +49,8 @@
     from eiderpin.parts.store import Options as StoreOptions
     from eiderpin.store.host import StoreHost
 
-LINGER = 600.0  # ms after SIGTERM in which new connections may still come
 SETTLE = 400.0  # ms after a drain in which the front may still send new clients: idle ones are not yet closed
-PARTING = 1000.0  # ms, at the very end, in which those who are still connected may see that we close
-HALVES = 3000.0  # ms after SIGTERM for which requests that are half sent are waited for
 LATEST_BEGIN = 3000.0  # ms in which a new process takes the clients, whatever it has not heard by then
-OWN_END = 1000.0  # ms after SIGTERM in which jobs may end here; then a successor has them
 FEW_MORE = 6  # connections to workers that a process may add once its successor has the clients
 STORE_EVERY = 100.0  # ms between looks whether our predecessor has given its member of the store up
 HELD_SHARE = 0.125  # of the memory, for requests that wait or have not come whole
@@ -114,6 +111,7 @@
                 self.management = Management(self.loop, self.counters, config.management, calls, DOOR_CALLERS)
         except OSError as error:
             raise ConfigError(f"cannot listen: {error}") from None
+        self.shutdown = Shutdown(self.core, self.edge, self.gearman, self.workers, self.ledger)
         self.listed: StaticList | None = None
         if config.workers is not None:
             from eiderpin.net import static_list
@@ -126,9 +124,6 @@
                 self.loop, self.core, self.workers, config.discovery, config.known
             )
         self.drained = False  # by the operators' word
-        self.stopping_since: float | None = None  # since SIGTERM
-        self.parting_since: float | None = None  # since all was answered, at the end
-        self.handed_at: float | None = None  # when a successor took the clients
         self.serving = not shared  # we accept clients, or did until a successor took them
         self.handover: Handover | None = None
         if shared:
@@ -138,8 +133,9 @@
 
             self.handover = Handover(
                 self.loop, self.core, self.edge, path, self.workers.take_news, self.state, self.changed,
-                self.gives,
+                self.shutdown.may_hand_over,
             )  # fmt: skip
+            self.shutdown.handover = self.handover
             self.handover.ledger = self.ledger
             self.workers.not_ours = self.handover.pass_on
         if config.store is not None:
@@ -279,26 +275,23 @@
     def handed_over(self) -> bool:
         return self.handover is not None and self.handover.handed_over
 
-    def gives(self) -> bool:
-        """Whether our successor is to have our jobs: we may be killed before they end."""
-        since = self.stopping_since
-        return since is not None and self.clock.now() > since + OWN_END
-
     def changed(self) -> None:
         """What we know of the process beside us has changed, or what we were told to do."""
-        if self.handed_at is not None and not self.handed_over:
-            self.handed_at = None
+        shutdown = self.shutdown
+        if shutdown.handed_over_at is not None and not self.handed_over:
+            shutdown.handed_over_at = None
+            shutdown.cut_deadlines()
             self.say("the newer process has gone: taking clients again")
             if self.ledger is not None and self.ledger.given_up:
                 self.ledger.offered()
-        elif self.handed_at is None and self.handed_over:
-            self.handed_at = self.clock.now()
+        elif shutdown.handed_over_at is None and self.handed_over:
+            shutdown.handed_over_at = self.clock.now()
             self.say(f"a newer process takes the clients; {self.core.outstanding} jobs are under way here")
         accepts = self.serving and not self.handed_over
         for front in (self.edge, self.gearman, self.agent_check):
             if front is not None and front.listener.on is not accepts:
                 (front.listener.start if accepts else front.listener.pause)()
-        ending = self.stopping_since is not None or self.handed_over
+        ending = shutdown.begun or self.handed_over
         whom = Away.ALL if ending else Away.CLIENTS if self.drained or self.fenced else Away.NOBODY
         self.edge.send_away(whom, 0.0 if ending else SETTLE)
         if self.gearman is not None:
@@ -344,7 +337,7 @@
         welcome, and the share of what we can hold that is free."""
         if self.handed_over and self.handover is not None and self.handover.newer is not None:
             return self.handover.newer.readiness
-        if self.drained or self.fenced or self.stopping_since is not None:
+        if self.drained or self.fenced or self.shutdown.begun:
             return "drain"
         if self.ledger is not None and not self.ledger.ready:
             return "down"
@@ -372,7 +365,7 @@
     def ready(self) -> str:
         """The operators' `ready`: whether this process can serve; one that they drained still can."""
         state = self.readiness()
-        can = self.stopping_since is None and state != "down"
+        can = not self.shutdown.begun and state != "down"
         if self.store is not None and self.store.cut_off:
             state += ", cut off from the store"
         if self.control_plane is not None:
@@ -406,20 +399,9 @@
 
     def stop(self) -> None:
         """Begin the planned end: serve what comes, and end once all is answered."""
-        if self.stopping_since is None:
-            self.stopping_since = self.clock.now()
-            logs.event("told to end", logging.INFO, **self.what_is_open())
+        if self.shutdown.begin():
             self.changed()
-
-    def what_is_open(self) -> dict[str, int]:
-        """What is still owed or connected, for the log."""
-        attempts = [a for request in self.core.requests.all() for a in request.attempts]
-        return {
-            "outstanding": self.core.outstanding,
-            "attempts": sum(not a.ended for a in attempts),
-            "clients": len(self.edge.connections),
-            "server_connections": len(self.workers.open),
-        }
+            self.shutdown.cut_deadlines()
 
     def drain(self) -> str:
         """The operators' `drain`: send clients away, until `resume`."""
@@ -432,7 +414,7 @@
     def resume(self) -> str:
         if self.handed_over:
             return "fail a newer process has the clients: ask at its door"
-        if self.stopping_since is not None:
+        if self.shutdown.begun:
             return "fail it has been told to end"
         self.drained = False
         self.changed()
@@ -483,32 +465,8 @@
         return self.take(new)
 
     def over(self) -> bool:
-        if not self.may_end() or (self.ledger is not None and not self.ledger.quiet()):
-            return False
-        # A job that is half sent is worth the wait, but those who begin one and stay must not keep us.
-        halves = self.stopping_since is not None and self.clock.now() < self.stopping_since + HALVES
-        if any(not f.ended for f in self.core.requests.all()) or not self.edge.quiet(halves):
-            if self.parting_since is not None and self.handed_at is None:
-                self.parting_since = None  # one more has come, and workers must be able to call back
-                self.edge.listener.start()
-            return False
-        if self.gearman is not None and any(c.conn.unsent for c in self.gearman.connections.all()):
-            return False
-        if self.parting_since is None:
-            self.parting_since = self.clock.now()
-        return self.edge.part() or self.clock.now() > self.parting_since + PARTING
-
-    def may_end(self) -> bool:
-        """Whether we may go once all is answered."""
-        now, newer = self.clock.now(), self.handover.newer if self.handover is not None else None
-        if newer is not None and newer.given:
-            return False  # jobs on their way to it, which may have to come back
-        if self.handed_at is not None and not len(self.edge.connections):
-            return now > self.handed_at + LINGER
-        if self.stopping_since is None or now < self.stopping_since + LINGER:
-            return False
-        # One that comes after us and cannot serve yet is waited for.
-        return newer is None or newer.serving or now > self.stopping_since + LATEST_BEGIN
+        """Whether the planned end has come to the exit."""
+        return self.shutdown.is_over()
 
     def print_counters(self) -> None:
         """Print all counters on standard error, as SIGUSR1 asks for."""
@@ -519,9 +477,10 @@
 
     def turn(self) -> None:
         """One turn of the loop."""
-        if not self.serving and self.stopping_since is None and self.may_begin():
+        begun = self.shutdown.begun
+        if not self.serving and not begun and self.may_begin():
             self.begin()
-        rests = self.serving and self.stopping_since is None and self.handed_at is None
+        rests = self.serving and not begun and self.shutdown.handed_over_at is None
         if self.ledger is not None:
             rests = self.ledger.turn() and rests
         self.loop.once(self.after_turn, 1000.0 if rests else 20.0)
