Make calls that fail for want of memory again, and tell what we lack from what a worker does

Cause: any error of recv, send or accept but EAGAIN was taken for the end of the connection (Connection._read, _flush), so ENOBUFS or ENOMEM closed a client's connection with its request; on accept they made a busy loop, as only EMFILE and ENFILE let the listener rest. connect_ex's EINTR, which leaves the connection coming up, was taken for a failure. A connect that could not be begun was always put down to a descriptor of ours, also where the address refused at once, so such a worker was never rested. A selector that refused a connection left its slot taken; a failing TCP_NODELAY closed a client's new connection. Loop.open_connection raises ConnectError, which knows whether the fault is our own.

--- a/eiderpin/net/loop.py
+++ b/eiderpin/net/loop.py
@@ -24,7 +24,23 @@
 SCRATCH = bytearray(256 * 1024)  # where input that nobody wants is read into
 MOST_UNSENT = 1 << 20  # a peer that leaves more than this unread is cut off
 READS = 4  # reads in one turn from a peer that waits for something here
-NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
+RETRY_AFTER = 5.0  # ms until a call that the system had no memory for is made again
+# What this machine lacks for a while: nothing has happened to the peer or to the connection.
+SHORTAGES = frozenset({errno.ENOBUFS, errno.ENOMEM})
+NO_DESCRIPTORS = frozenset({errno.EMFILE, errno.ENFILE})
+NOT_ACCEPTED = SHORTAGES | NO_DESCRIPTORS  # the connection stays in the backlog
+# A connect that was interrupted goes on by itself, as one in progress does.
+CONNECTING = frozenset({0, errno.EINPROGRESS, errno.EINTR})
+# Why a connect could not be begun for want of something of our own, rather than of its address.
+OWN_FAULTS = NOT_ACCEPTED | {errno.EADDRNOTAVAIL, errno.EAGAIN, errno.EACCES, errno.EPERM}
+
+
+class ConnectError(Exception):
+    """A connection could not even be begun. `own`: for want of something of ours, not for its address."""
+
+    def __init__(self, number: int) -> None:
+        super().__init__(errno.errorcode.get(number, str(number)))
+        self.own = number in OWN_FAULTS
 
 
 class Connection:
@@ -33,7 +49,7 @@
     __slots__ = (
         "loop", "sock", "number", "connecting", "closed", "unsent", "closing", "on_open",
         "on_data", "on_end", "on_flushed", "on_closed", "taken", "mask", "dropped", "end_at", "receive",
-        "waited",
+        "waited", "retry",
     )  # fmt: skip
 
     def __init__(self, loop: Loop, sock: socket.socket, connecting: bool) -> None:
@@ -53,12 +69,14 @@
         self.end_at: Deadline | None = None
         self.waited = False  # its peer waits for something here, until it ends
         self.receive: Callable[[int], bytes] = sock.recv
+        self.retry: Deadline | None = None  # when a call that the system had no memory for is made again
         sock.setblocking(False)
         if sock.family == socket.AF_INET:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.number = loop.connections.add(self)
+            with contextlib.suppress(OSError):  # it serves without, too
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.mask = WRITE if connecting else READ
         loop.selector.register(sock, self.mask, self.ready)
+        self.number = loop.connections.add(self)
 
     def ready(self, mask: int) -> None:
         if self.connecting:
@@ -75,8 +93,8 @@
         if mask & READ and not self.closed:
             # While it waits here, its end may stand right behind what it sends, and more must not be done for
             # it then: so its end is looked for in this turn.
-            for _ in range(READS if self.waited else 1):
-                if not self._read():
+            for _ in range(READS):
+                if not self._read() or not self.waited:
                     return
 
     def _read(self) -> bool:
@@ -90,8 +108,11 @@
             data = self.receive(CHUNK)
         except (BlockingIOError, InterruptedError):
             return False
-        except OSError:
-            self._broke()
+        except OSError as error:
+            if error.errno in SHORTAGES:
+                self._try_again_later()
+            else:
+                self._broke()
             return False
         if not data:
             self._broke()
@@ -104,7 +125,10 @@
             count = self.sock.recv_into(SCRATCH)
         except (BlockingIOError, InterruptedError):
             return
-        except OSError:
+        except OSError as error:
+            if error.errno in SHORTAGES:
+                self._try_again_later()
+                return
             count = 0
         self.dropped += count
         if not count or self.dropped > LINGER_BYTES:
@@ -124,6 +148,15 @@
         except OSError:
             return False
 
+    def has_ended(self) -> bool:
+        """Whether the peer's end of stream, or a reset, has come that has not been read yet."""
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError as error:
+            return error.errno not in SHORTAGES
+
     def _flush(self) -> None:
         try:
             while self.unsent:
@@ -134,8 +167,11 @@
             if len(self.unsent) > MOST_UNSENT:
                 self._broke()
                 return
-        except OSError:
-            self._broke()
+        except OSError as error:
+            if error.errno in SHORTAGES:
+                self._try_again_later()
+            else:
+                self._broke()
             return
         if not self.unsent:
             self.on_flushed()
@@ -143,6 +179,20 @@
                 self._shut()
         self._want()
 
+    def _try_again_later(self) -> None:
+        """The system has no memory for a call now. The socket counts as ready all the same, and to look at it
+        would be a busy loop."""
+        self.loop.counters.add("net.no_memory")
+        if self._is_watched():
+            self.loop.selector.unregister(self.sock)
+        self.loop.deadlines.drop(self.retry)
+        self.retry = self.loop.deadlines.set(self.loop.clock.now() + RETRY_AFTER, self._try_again)
+
+    def _try_again(self) -> None:
+        self.loop.selector.register(self.sock, self.mask, self.ready)
+        if self.unsent:
+            self._flush()
+
     def _shut(self) -> None:
         """Closed with input unread, or with some that is just coming, the kernel would send a reset, and our
         peer might lose our last words. So we end our side, and drop what comes until it ends its own."""
@@ -164,7 +214,12 @@
         mask = READ | WRITE if self.unsent else READ
         if mask != self.mask:
             self.mask = mask
-            self.loop.selector.modify(self.sock, mask, self.ready)
+            if self._is_watched():
+                self.loop.selector.modify(self.sock, mask, self.ready)
+
+    def _is_watched(self) -> bool:
+        """Whether the loop looks at the socket: not while a call is put off."""
+        return self.sock.fileno() in self.loop.selector.get_map()
 
     def _broke(self) -> None:
         if not self.closed:
@@ -190,8 +245,10 @@
         """Leave the socket to somebody else, as it is."""
         self.closed = True
         self.loop.connections.remove(self.number)
-        self.loop.selector.unregister(self.sock)
+        if self._is_watched():
+            self.loop.selector.unregister(self.sock)
         self.loop.deadlines.drop(self.end_at)
+        self.loop.deadlines.drop(self.retry)
         self.on_closed()
         return self.sock
 
@@ -274,14 +331,15 @@
             except (BlockingIOError, InterruptedError):
                 return
             except OSError as error:
-                if error.errno in NO_DESCRIPTORS:
+                if error.errno in NOT_ACCEPTED:
                     # The connection stays in the backlog and the listener readable: without a rest the
                     # loop would spin on it.
-                    self.loop.counters.add("in.no_descriptor")
+                    lack = "no_descriptor" if error.errno in NO_DESCRIPTORS else "no_memory"
+                    self.loop.counters.add(f"in.{lack}")
                     self.make_room()
                     self.rest()
                     return
-                continue  # the peer went away while it waited
+                continue  # the peer went away while it waited, or its network did: there may be more
             try:
                 connection = Connection(self.loop, sock, False)
             except OSError:
@@ -317,22 +375,33 @@
         self.connections: SlotTable[Connection] = SlotTable()
 
     def connect(self, address: tuple[str, int] | str) -> Connection | None:
-        """A connection on its way up, by TCP or to a path; None where it cannot even be begun."""
+        """As `open_connection`; None where it cannot be begun, whatever the reason."""
+        try:
+            return self.open_connection(address)
+        except ConnectError:
+            return None
+
+    def open_connection(self, address: tuple[str, int] | str) -> Connection:
+        """A connection on its way up, by TCP or to a path. Raises `ConnectError` where it cannot be begun."""
         family = socket.AF_UNIX if isinstance(address, str) else socket.AF_INET
         try:
             sock = socket.socket(family, socket.SOCK_STREAM)
-        except OSError:
+        except OSError as error:
             self.counters.add("out.no_descriptor")
-            return None
+            raise ConnectError(error.errno or 0) from None
         try:
             sock.setblocking(False)
-            error = sock.connect_ex(address)
-            if error not in (0, errno.EINPROGRESS):
-                raise OSError(error, "connect")
+            number = sock.connect_ex(address)
+            if number not in CONNECTING:
+                raise ConnectError(number)
             return Connection(self, sock, True)
-        except OSError:
+        except OSError as error:
             sock.close()
-            return None
+            raise ConnectError(error.errno or 0) from None
+        except ConnectError as error:
+            sock.close()
+            self.counters.add(f"out.connect.{error}")
+            raise
 
     def once(self, after: Callable[[], None], longest: float = 1000.0) -> None:
         """Wait for sockets or the next deadline, serve what is ready, then call `after`."""
--- a/eiderpin/net/workers.py
+++ b/eiderpin/net/workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import math
 import socket
 from collections.abc import Callable
@@ -15,7 +16,7 @@
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.requests import Attempt, ServiceEntry
 from eiderpin.net import http, reports
-from eiderpin.net.loop import Connection, Loop
+from eiderpin.net.loop import ConnectError, Connection, Loop
 
 IDLE_SHARE = 0.5  # of conn_idle: a connection is retired well before its worker closes it
 SURE_IDLE = 50.0  # ms; a connection that has stood no longer is taken to be up, whatever lies between
@@ -218,9 +219,11 @@
         # What lies between may have forgotten a connection that stood idle, and the reset that a write to it
         # brings would be the end of a job that must not run twice. A new connection costs far less.
         once = self.core.classes[attempt.request.cls].repeat is not api.Repeat.FREE
-        connection = self._connection(attempt.entry, SURE_IDLE if once else self.trust())
-        if connection is None:
-            self.core.ended(attempt, api.Outcome.NOT_SENT)  # for want of a descriptor of our own
+        try:
+            connection = self._connection(attempt.entry, SURE_IDLE if once else self.trust())
+        except ConnectError as error:
+            # What we lack ourselves says nothing of the worker; that its address cannot be reached does.
+            self.core.ended(attempt, api.Outcome.NOT_SENT if error.own else api.Outcome.NOT_CONNECTED)
         else:
             connection.begin(b"", attempt)
 
@@ -266,8 +269,9 @@
     # -- connections
 
     def _call(self, entry: ServiceEntry, payload: bytes, probe_at: float | None) -> bool:
-        connection = self._connection(entry, self.trust())
-        if connection is None:
+        try:
+            connection = self._connection(entry, self.trust())
+        except ConnectError:
             return False
         connection.probe_at = probe_at
         connection.begin(payload, None)
@@ -284,7 +288,8 @@
         self.core.counters.add("out.stale")
         self._trust, self._stale_at = max(SURE_IDLE, min(self.trust(), stood / 2)), self.loop.clock.now()
 
-    def _connection(self, entry: ServiceEntry, most_idle: float) -> WorkerConnection | None:
+    def _connection(self, entry: ServiceEntry, most_idle: float) -> WorkerConnection:
+        """One that rests, or a new one on its way up. Raises `ConnectError`."""
         waiting = self.idle.get(entry.name, [])
         since = self.loop.clock.now() - most_idle
         while waiting and waiting[-1].rested_at >= since:  # the one that came to rest last is the last
@@ -294,9 +299,9 @@
             connection.close()
         if len(self.open) >= self.most:
             self._retire_one()
-        conn = self.loop.connect(entry.address) if len(self.open) < self.most else None
-        if conn is None:
-            return None
+        if len(self.open) >= self.most:
+            raise ConnectError(errno.EMFILE)
+        conn = self.loop.open_connection(entry.address)
         self.core.counters.add("out.worker_connections")
         connection = WorkerConnection(self, entry, conn)
         self.open.add(connection)
