--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -335,7 +335,7 @@
         to get there: is somebody still waiting, does the worker still take new work, and do the decisions
         still stand by it (its window, its deadline, what else of the job may have run)?"""
         request, now = attempt.request, self.clock.now()
-        if attempt.ended or not request.wanted:
+        if attempt.ended or not request.wanted or self._is_deserted(request):
             return False
         grace = self.settings.drain_grace - GRACE_MARGIN
         if not attempt.entry.may_be_sent(now, grace):
@@ -346,6 +346,14 @@
             return False
         return True
 
+    def _is_deserted(self, request: Request) -> bool:
+        """Whether all who wait have gone by now: the process may have been held up, and what is ready first
+        in a turn of the loop need not have come first."""
+        if request.background or request.job or not all(w.has_left() for w in request.waiters):
+            return False
+        self.counters.add("out.late.deserted")
+        return True
+
     def written(self, attempt: Attempt) -> None:
         """The whole of a send is out: from here on it may have run."""
         attempt.may_have_run = True
--- a/eiderpin/core/requests.py
+++ b/eiderpin/core/requests.py
@@ -37,6 +37,10 @@
 
     def data_part(self, request: Request, data: bytes, warning: bool) -> None: ...
 
+    def has_left(self) -> bool:
+        """Whether it has gone, though that may not have been dealt with yet."""
+        ...
+
 
 @dataclass(slots=True, eq=False)
 class Request:
--- a/eiderpin/net/edge.py
+++ b/eiderpin/net/edge.py
@@ -223,6 +223,9 @@
     def data_part(self, request: Request, data: bytes, warning: bool) -> None:
         """Partial data has no place in an HTTP answer."""
 
+    def has_left(self) -> bool:
+        return self.conn.closed or self.conn.has_ended()
+
     # the end
 
     def leave(self) -> None:
--- a/eiderpin/net/gearman_front.py
+++ b/eiderpin/net/gearman_front.py
@@ -83,6 +83,9 @@
         if self.handle:
             self.client.put(Kind.WORK_WARNING if warning else Kind.WORK_DATA, self.handle, data)
 
+    def has_left(self) -> bool:
+        return self.client.conn.closed or self.client.conn.has_ended()
+
 
 class GearmanConnection:
     """One connection: a client, a worker or both."""
--- a/tests/test_client_leaves.py
+++ b/tests/test_client_leaves.py
@@ -199,5 +199,76 @@
             stage.until(lambda: stage.begun() == ["g", "g"], "the second attempt")
 
 
+class HeldUp(unittest.TestCase):
+    """The process is stopped for a while, so that a client's end and what would begin an attempt for it lie
+    ready in one turn of the loop: whatever comes first there, the attempt must not begin."""
+
+    def test_as_the_connection_to_a_worker_comes_up(self) -> None:
+        for cls, way in itertools.product(CLASSES, ("close", "reset")):
+            with self.subTest(cls=cls, way=way), staged(settings=settings(True)) as stage:
+                client = stage.client()
+                client.say(job(cls, "a"))
+                stage.hold(lambda conn: conn.connecting)
+                stage.until(lambda s=stage: s.core.outstanding, "the job")
+                stage.pass_time(40)
+                leave(client, way)
+                stage.first(lambda conn: conn.connecting)
+                stage.let()
+                stage.turn(5)
+                stage.pass_time(1000)
+                self.assertEqual((stage.begun(), gone(stage)), ([], True))
+
+    def test_as_a_connection_that_rests_is_used(self) -> None:
+        """A repeat that is placed at once, on a connection that is up."""
+        with staged(settings=settings(True)) as stage:
+            first, second = stage.client(), stage.client()
+            first.say(job("time-lookup", "a"))
+            stage.until(lambda: stage.core.outstanding, "the job")
+            stage.pass_time(40)
+            stage.until(lambda: stage.begun(), "the first attempt")
+            (peer,) = [p for w in stage.workers for p in w.peers]
+            peer.say(http(202))
+            stage.turn(3)
+            second.say(job("time-lookup", "b"))
+            stage.until(lambda: stage.core.outstanding == 2, "the job")
+            edges = [c for c in stage.loop.connections.all() if not to_worker(c)]
+            stage.hold(lambda conn: conn in edges)
+            second.close()
+            stage.pass_time(40)
+            self.assertEqual(stage.begun(), ["a"])
+            stage.let()
+            stage.until(lambda: stage.core.outstanding == 1, "its end")
+
+    def test_a_full_round_of_clients_that_have_sent_and_gone(self) -> None:
+        for way in ("close", "reset"):
+            with self.subTest(way=way), staged(settings=settings(True)) as stage:
+                clients = [stage.client() for _ in range(8)]
+                for number, client in enumerate(clients):
+                    client.say(job("result-post", f"r{number}"))
+                    leave(client, way)
+                stage.first(lambda conn: conn.connecting or to_worker(conn))
+                stage.turn(10)
+                stage.pass_time(500)
+                self.assertEqual((stage.begun(), gone(stage)), ([], True))
+
+    def test_a_gearman_client_while_a_worker_grabs(self) -> None:
+        with staged(workers=0, gearman=True, settings=settings(True)) as stage:
+            worker, client = stage.client("gearman"), stage.client("gearman")
+            worker.say(pack(Kind.CAN_DO, b"time-lookup", magic=b"\0REQ"))
+            stage.turn(5)
+            client.say(pack(Kind.SUBMIT_JOB, b"time-lookup", b"g", b"", magic=b"\0REQ"))
+            stage.until(lambda: stage.core.outstanding, "the job")
+            stage.pass_time(40)
+            client.close()
+            grabs = next(
+                c.conn for c in stage.service.gearman.connections.all() if c.abilities
+            )  # the worker's packet is seen first
+            stage.first(lambda conn: conn is grabs)
+            worker.say(pack(Kind.GRAB_JOB, magic=b"\0REQ"))
+            stage.turn(5)
+            self.assertNotIn(pack(Kind.JOB_ASSIGN, b"")[:8], worker.look())
+            self.assertTrue(gone(stage))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -55,6 +55,9 @@
 
     def data_part(self, request: Request, data: bytes, warning: bool) -> None: ...
 
+    def has_left(self) -> bool:
+        return False
+
 
 def entry(name: str, state: api.WorkerState = api.WorkerState.IN_SERVICE) -> api.WorkerEntry:
     return api.WorkerEntry(name, "a", "m", 0, state)
