Count a client's patience from when its request came, and allow for a process that is held up

Cause: a request's deadline was counted from when it was served: one that was read late (process held up, connection waiting while the listener rested) or had waited behind another on its connection promised a server time that its client had not got. 50 ms of a drain's grace and a tenth of a window were left for the 150 ms for which a process may be held up before a write. A message keeps when it came. The time told leaves 15 ms for the answer. GRACE_MARGIN 200 ms, windows end 150 ms early at least.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -28,10 +28,11 @@
     Verdict,
     WorkerLink,
 )
+from eiderpin.core.shutdown import HELD_UP
 from eiderpin.core.slot_table import SlotTable, TableFull
 
 ANSWER_MARGIN = 15.0  # ms before a client's deadline at which its answer is due: it has to travel
-GRACE_MARGIN = 50.0  # ms of a drain's grace that are left unused
+GRACE_MARGIN = HELD_UP + 50.0  # ms of a drain's grace that are left unused: a send may be held up
 WAIT_ADVICE = 500.0  # ms told to a turned-down client where the decisions name no figure
 KEPT_FOR = 60_000.0  # ms for which a result is kept for a resubmission
 KEPT_COUNT = 8192
@@ -346,6 +347,11 @@
             return False
         return True
 
+    def time_left(self, attempt: Attempt) -> float:
+        """ms for which a server may work at this attempt and its answer still reach the client in time."""
+        until = min(attempt.made_at + attempt.timeout, attempt.request.deadline - ANSWER_MARGIN)
+        return until - self.clock.now()
+
     def _is_deserted(self, request: Request) -> bool:
         """Whether all who wait have gone by now: the process may have been held up, and what is ready first
         in a turn of the loop need not have come first."""
--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -61,7 +61,8 @@
 FAULT_GAIN, SOUND_GAIN = 0.3, 0.1  # weight of a new failure, and of a new success, in a worker's fault ...
 FAULTY = 0.35  # ... from which on, so after two failures, it is not sent a job that must not run twice ...
 FAULT_MEMORY = 20.0  # ... until the fault has faded, with this many mean run times
-SPAN_MARGIN = 0.9  # share of a memory span in which a guarded repeat is still sent
+SPAN_MARGIN = 0.9  # share of a memory span in which a guarded repeat is still sent, less at least ...
+HELD_UP = 150.0  # ms ... for which a process may be held up between reading its clock and writing
 CLASS_LEAST = 0.75  # a class that earns less than this share of what the best one does has its jobs go first
 TENANT_BURST = 2000.0  # ms; a tenant may send this long a part of its share at once
 WAIT_STAKE = 0.5  # least share of its worth that a job may lose by waiting: room that is idle meanwhile is
@@ -258,8 +259,8 @@
     anchor = job.anchor(attempt)
     if anchor is None or job.spec.repeat is api.Repeat.FREE:
         return True
-    guarded = job.spec.repeat is api.Repeat.GUARDED
-    return guarded and now <= anchor.sent + SPAN_MARGIN * job.spec.memory_span
+    guarded, span = job.spec.repeat is api.Repeat.GUARDED, job.spec.memory_span
+    return guarded and now <= anchor.sent + min(SPAN_MARGIN * span, span - HELD_UP)
 
 
 def may_refuse(job: Job) -> bool:
--- a/eiderpin/net/edge.py
+++ b/eiderpin/net/edge.py
@@ -14,7 +14,7 @@
 from eiderpin.core.durability import OtherJob
 from eiderpin.core.requests import Answer, Request, Verdict
 from eiderpin.core.slot_table import SlotTable
-from eiderpin.net import http
+from eiderpin.net import arrival, http
 from eiderpin.net.loop import READ, Connection, Listener, Loop
 from eiderpin.net.room import Room, Spare
 
@@ -127,15 +127,25 @@
     def data(self, data: bytes) -> None:
         self.last = self.front.loop.clock.now()
         self.take_in(data)
+        self.conn.queued = 0.0
         self.file()
 
+    def came_at(self) -> float:
+        """When what has just been read had come: maybe while the connection still waited to be accepted."""
+        age = arrival.data_age(self.conn.sock)
+        return self.last - (self.conn.queued if age is None else age)
+
     def take_in(self, data: bytes) -> None:
         try:
             came = self.reader.feed(data)
         except http.BadMessage as error:
             self.bad(error.status, str(error))
             return
-        self.waiting.extend(came)
+        if came:
+            came_at = self.came_at()
+            for message in came:
+                message.came_at = came_at
+            self.waiting.extend(came)
         if self.reader.idle:
             self.drop_limit()
         elif came or self.limit is None:
@@ -443,7 +453,7 @@
     def take(self, edge: EdgeConnection, cls: str, message: http.Message) -> None:
         try:
             default = self.core.classes[cls].deadline
-            request = make_request(cls, message, self.loop.clock.now(), default, self.core.is_durable(cls))
+            request = make_request(cls, message, message.came_at, default, self.core.is_durable(cls))
             if self.jobs >= self.most:
                 self.counters.add("in.over_connections")
                 edge.turn_down(cls)
@@ -504,7 +514,7 @@
 
 
 def make_request(
-    cls: str, message: http.Message, now: float, default_deadline: float, durable: bool = False
+    cls: str, message: http.Message, came_at: float, default_deadline: float, durable: bool = False
 ) -> Request:
     """A request from a client's request; that of a durable class may bear a name by which it can be asked for
     again. Raises `ValueError` with what is wrong with it."""
@@ -522,7 +532,7 @@
         unique,
         message.target,
         message.body,
-        now + min(default_deadline if wait is None else wait, MOST_DEADLINE),
+        came_at + min(default_deadline if wait is None else wait, MOST_DEADLINE),
         slots=more.get("slots") or 1.0,
         memory=more.get("memory") or 0.0,
         tenant=h.get("req-owner") or None,
--- a/eiderpin/net/http.py
+++ b/eiderpin/net/http.py
@@ -42,6 +42,7 @@
     headers: dict[str, str] = field(default_factory=dict)  # names in lower case
     body: bytes = b""
     keep_alive: bool = True
+    came_at: float = 0.0  # when its last byte came, on the loop's clock
 
     @property
     def path(self) -> str:
--- a/eiderpin/net/loop.py
+++ b/eiderpin/net/loop.py
@@ -49,7 +49,7 @@
     __slots__ = (
         "loop", "sock", "number", "connecting", "closed", "unsent", "closing", "on_open",
         "on_data", "on_end", "on_flushed", "on_closed", "taken", "mask", "dropped", "end_at", "receive",
-        "waited", "retry",
+        "waited", "retry", "queued",
     )  # fmt: skip
 
     def __init__(self, loop: Loop, sock: socket.socket, connecting: bool) -> None:
@@ -67,6 +67,7 @@
         self.on_closed: Callable[[], None] = _nothing  # the descriptor is free again, whoever closed
         self.dropped = 0  # bytes read and dropped since we began to close
         self.end_at: Deadline | None = None
+        self.queued = 0.0  # ms for which it may have waited to be accepted, while we accepted none
         self.waited = False  # its peer waits for something here, until it ends
         self.receive: Callable[[int], bytes] = sock.recv
         self.retry: Deadline | None = None  # when a call that the system had no memory for is made again
@@ -276,6 +277,7 @@
         self.taken = taken
         self.make_room = make_room
         self.on = self.resting = self._registered = False
+        self._full_since: float | None = None  # when it first had to rest with connections in its backlog
         self._inherited, self._shared = isinstance(where, socket.socket), shared
         self.sock = where if isinstance(where, socket.socket) else self._bound(where)
         self.sock.setblocking(False)
@@ -329,6 +331,7 @@
             try:
                 sock, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError):
+                self._full_since = None
                 return
             except OSError as error:
                 if error.errno in NOT_ACCEPTED:
@@ -345,11 +348,15 @@
             except OSError:
                 sock.close()
                 continue
+            if self._full_since is not None:
+                connection.queued = self.loop.clock.now() - self._full_since
             self.taken(connection)
 
     def rest(self, ms: float = REST) -> None:
         if not self.resting:
             self.resting = True
+            if self._full_since is None:
+                self._full_since = self.loop.clock.now()
             self._watch()
             self.loop.deadlines.set(self.loop.clock.now() + ms, self._wake)
 
--- a/eiderpin/net/workers.py
+++ b/eiderpin/net/workers.py
@@ -230,7 +230,7 @@
     def job(self, attempt: Attempt) -> bytes:
         """The request, as it is written now."""
         request = attempt.request
-        left = max(1, int(attempt.made_at + attempt.timeout - self.core.clock.now()))
+        left = max(1, int(self.core.time_left(attempt)))
         headers: tuple[str, ...] = (
             f"Host: {self.host}", f"Req-Id: {request.wire_id}", f"Req-Deadline-Ms: {left}",
         )  # fmt: skip
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -18,6 +18,7 @@
 from eiderpin import service as services
 from eiderpin.configuration import read_config
 from eiderpin.core.deadlines import Clock
+from eiderpin.net import arrival
 from eiderpin.net.loop import Connection
 from tests.standins import SETTINGS
 
@@ -168,8 +169,13 @@
         ):
             self.service = services.Service(read)
         self.core, self.loop = self.service.core, self.service.loop
+        # The kernel counts real time, and time stands still here: a test says how old data is, 0 unless set.
+        self.data_age: float | None = 0.0
+        self._age = mock.patch.object(arrival, "data_age", lambda sock: self.data_age)
+        self._age.start()
 
     def close(self) -> None:
+        self._age.stop()
         for client in self.clients:
             client.close()
         for worker in self.workers:
