Translate servers' starts to the steady clock, so that a step of the wall clock moves none

Cause: the dispatcher's clock takes the wall clock's time once, at its start, and runs on steadily; a server's start (startedAtMs) is told by the wall clock and was compared with it as it stood. After a step forward a server that has just started counts as long warm, so its slow start is not kept; after a step back it counts as cold for as long as the step. Checked: no other place of the core or the network code reads the wall clock; deadlines, waits and windows are on the steady one. Change: core/wall_clock.py keeps each offset with the time in which it was seen (looked at with each call to discovery) and translates by the one in force; where several fit, the latest moment, so that a server is rather held for colder. A start that has been translated is not translated again. Not covered: a step before this process began, of which it cannot know; the ledger's deadlines over a restart.

--- a/eiderpin/net/discovery.py
+++ b/eiderpin/net/discovery.py
@@ -10,6 +10,7 @@
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.requests import WorkerLink
+from eiderpin.core.wall_clock import WallClock
 from eiderpin.net import http
 from eiderpin.net.loop import Connection, Loop
 
@@ -41,11 +42,14 @@
     return host, int(port)
 
 
-def read_list(said: Any) -> tuple[int, bool, list[tuple[api.WorkerEntry, object]]]:
-    """Generation, whether it is the whole list, and its entries."""
+Entries = list[tuple[api.WorkerEntry, object]]  # workers and their addresses
+
+
+def read_list(said: Any) -> tuple[int, bool, Entries]:
+    """Generation, whether it is the whole list, and its entries, with starts by the wall clock."""
     if not isinstance(said, dict) or not isinstance(said.get("instances"), list):
         raise BadList("a list needs instances")
-    entries: list[tuple[api.WorkerEntry, object]] = []
+    entries: Entries = []
     for e in said["instances"]:
         if not isinstance(e, dict) or not isinstance(e.get("instanceId"), str):
             raise BadList("an instance needs an instanceId")
@@ -79,6 +83,9 @@
         self, loop: Loop, core: Dispatcher, link: WorkerLink, where: tuple[str, int], known: Any
     ) -> None:
         self.loop, self.core, self.link, self.where = loop, core, link, where
+        self.wall = WallClock(core.clock)
+        # By worker: its start as it was told, and on our clock. Told again, it is not translated anew.
+        self.starts: dict[str, tuple[float, float]] = {}
         self.generation: int | None = None
         self.conn: Connection | None = None
         self.reader = http.ResponseReader()
@@ -92,7 +99,7 @@
             core.source = self
         if known:
             generation, _, entries = read_list(known)
-            core.list_told(link, api.ListKind.STORED, entries)
+            core.list_told(link, api.ListKind.STORED, self.on_our_clock(entries))
             if self.on_request:
                 self.generation = generation
         if not known or not self.on_request:
@@ -118,6 +125,7 @@
             self.ask()
 
     def ask(self) -> None:
+        self.wall.look()
         target = b"/catalog/members"
         wait = 0.0
         if self.generation is not None:
@@ -207,13 +215,26 @@
         self.told = self.sure = True
         if whole or entries or self.on_request:  # there an empty answer tells that the watch stands
             kind = api.ListKind.COMPLETE if whole else api.ListKind.CHANGES
-            self.core.list_told(self.link, kind, entries)
+            self.core.list_told(self.link, kind, self.on_our_clock(entries))
         self.loop.deadlines.drop(self.limit)
         if not message.keep_alive and self.conn is not None:
             self.conn.close()
             self.conn = None
         self.ask()
 
+    def on_our_clock(self, entries: Entries) -> Entries:
+        """The same entries, with the times of their workers' starts on the dispatcher's clock."""
+        for entry, _ in entries:
+            if entry.born is None:
+                self.starts.pop(entry.name, None)
+                continue
+            told, start = self.starts.get(entry.name, (0.0, 0.0))
+            if told != entry.born:
+                told, start = entry.born, self.wall.steady(entry.born)
+                self.starts[entry.name] = (told, start)
+            entry.born = start
+        return entries
+
     def is_older(self, generation: int) -> bool:
         """Whether this lies before what it told already, and is not to be believed yet: by it a worker that
         has been told to drain would be in service again."""
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -17,6 +17,7 @@
 
 from eiderpin import service as services
 from eiderpin.configuration import read_config
+from eiderpin.core import wall_clock
 from eiderpin.core.deadlines import Clock
 from eiderpin.net import arrival
 from eiderpin.net.loop import Connection
@@ -157,6 +158,9 @@
         self.gate = Gate()
         self.workers = [Worker(f"w{i}") for i in range(workers)]
         self.clients: list[Peer] = []
+        self.wall_ahead = 0.0  # ms by which the wall clock shows more than ours
+        self._wall = mock.patch.object(wall_clock, "read_wall", lambda: self.clock.at + self.wall_ahead)
+        self._wall.start()
         said: dict[str, Any] = {"name": "t1", "listen": "127.0.0.1:0", "seed": "1f",
                                 "settings": {**SETTINGS, **(settings or {})}}  # fmt: skip
         if "discovery" not in config:
@@ -176,6 +180,7 @@
 
     def close(self) -> None:
         self._age.stop()
+        self._wall.stop()
         for client in self.clients:
             client.close()
         for worker in self.workers:
