--- a/eiderpin/net/loop.py
+++ b/eiderpin/net/loop.py
@@ -21,6 +21,7 @@
 LINGER_BYTES = 128 << 20  # ... and how much of it
 LAST_WORDS = 5000.0  # ms in which a peer must have taken the last that we say
 REST = 20.0  # ms for which a listener that has no room lets connections wait in its backlog
+LISTEN_AGAIN = 20.0  # ms until an address that could not be bound again after a pause is tried once more
 SCRATCH = bytearray(256 * 1024)  # where input that nobody wants is read into
 MOST_UNSENT = 1 << 20  # a peer that leaves more than this unread is cut off
 READS = 4  # reads in one turn from a peer that waits for something here
@@ -277,6 +278,8 @@
         self.taken = taken
         self.make_room = make_room
         self.on = self.resting = self._registered = False
+        self._has_listened = False
+        self._again: Deadline | None = None  # when it tries to listen again
         self._full_since: float | None = None  # when it first had to rest with connections in its backlog
         self._inherited, self._shared = isinstance(where, socket.socket), shared
         self.sock = where if isinstance(where, socket.socket) else self._bound(where)
@@ -299,18 +302,29 @@
         return str(host), int(port)
 
     def start(self) -> None:
+        """Accept from now on; where that cannot be at once after a pause, as soon as it can. The first time
+        it raises `OSError`."""
+        self.loop.deadlines.drop(self._again)
         if not self.on and not self._inherited:
-            if self.sock.fileno() < 0:
-                self.sock = self._bound(self.address)
-                self.sock.setblocking(False)
-            self.sock.listen(1024)
-        self.on = True
+            try:
+                if self.sock.fileno() < 0:
+                    self.sock = self._bound(self.address)
+                    self.sock.setblocking(False)
+                self.sock.listen(1024)
+            except OSError:
+                if not self._has_listened:
+                    raise
+                self.loop.counters.add("in.not_listening")
+                self._again = self.loop.deadlines.set(self.loop.clock.now() + LISTEN_AGAIN, self.start)
+                return
+        self.on = self._has_listened = True
         self._watch()
 
     def pause(self) -> None:
         """Accept no more. What waits is for whoever else listens: on the same socket, or on the same address,
         where a socket that goes on listening would keep its part of the callers waiting."""
         self.on = False
+        self.loop.deadlines.drop(self._again)
         self._watch()
         if not self._inherited:
             self.sock.close()
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import os
 import random
@@ -473,7 +474,8 @@
         if self.control_plane is not None:
             self.counters.counts["observer.age_ms"] = int(self.control_plane.observer.age)
         lines = ["counters", *self.counters.lines(), "end of counters"]
-        print("\n".join(lines), file=sys.stderr, flush=True)
+        with contextlib.suppress(OSError):  # whoever reads them may have gone, and we serve on
+            print("\n".join(lines), file=sys.stderr, flush=True)
 
     def turn(self) -> None:
         """One turn of the loop."""
@@ -547,4 +549,14 @@
         print(f"eiderpin: {error}".replace("\n", " "), file=sys.stderr)
         return 2
     service.run()
+    _leave_stderr()
     return 0
+
+
+def _leave_stderr() -> None:
+    """An end in order is one, though nobody may read what it says: else the interpreter's own last flush
+    would make a failure of it."""
+    try:
+        sys.stderr.flush()
+    except OSError:
+        sys.stderr = open(os.devnull, "w")  # noqa: SIM115
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -8,7 +8,12 @@
 
 import contextlib
 import errno
+import json
+import os
+import signal
 import socket
+import subprocess
+import sys
 import unittest
 from collections import Counter
 from collections.abc import Callable, Iterator
@@ -17,6 +22,7 @@
 
 from eiderpin.net import loop as loops
 from tests.crossing import Peer, Stage, http, job, staged, to_worker, told
+from tests.standins import ROOT, HttpWorker, http_call, running, wait_for
 
 CLASSES = ("time-lookup", "result-post")
 SHORTAGES = (errno.ENOBUFS, errno.ENOMEM)
@@ -265,5 +271,46 @@
                     self.assertEqual(stage.begun(), ["a"])
 
 
+class Listening(unittest.TestCase):
+    def test_an_address_that_cannot_be_bound_again_at_once(self) -> None:
+        """As one more request comes while the process closes: it is served, and its worker can call back."""
+        with faulty() as (stage, _):
+            listener = stage.service.edge.listener
+            address = listener.address
+            listener.pause()
+            with mock.patch.object(listener, "_bound", side_effect=OSError(errno.EADDRINUSE, "bind")):
+                listener.start()
+                stage.pass_time(100)
+                self.assertFalse(listener.on)
+            stage.pass_time(loops.LISTEN_AGAIN)
+            self.assertEqual((listener.on, listener.address), (True, address))
+            self.assertIn(b"200 OK", run(stage, ask(stage, "time-lookup")))
+
+
+class Logging(unittest.TestCase):
+    def test_a_reader_of_the_log_that_has_gone_is_no_fault(self) -> None:
+        """Every write to standard error fails: it serves on, and ends in order."""
+        worker = HttpWorker("h1")
+        with running([worker]) as (program, discovery):
+            config = {**program.said, "listen": "127.0.0.1:0"}
+            program.config.write_text(json.dumps(config))
+            env = {**os.environ, "GW_CONFIG": str(program.config), "EIDERPIN_LOG_FORMAT": "logfmt"}
+            process = subprocess.Popen(
+                [sys.executable, "-O", "-m", "eiderpin"], cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True
+            )
+            assert process.stderr is not None
+            first = process.stderr.readline()
+            edge = next(part for part in first.split() if part.startswith("edge=")).partition("=")[2]
+            process.stderr.close()
+            worker.back = edge
+            wait_for(lambda: http_call(edge, "GET", "/_health")[0] == 200, "it to be ready")
+            for sent, number in enumerate((signal.SIGUSR1, signal.SIGHUP, signal.SIGUSR1)):
+                process.send_signal(number)
+                self.assertEqual(http_call(edge, "POST", "/time-lookup", Req_Id=f"a{sent}")[0], 200)
+            process.send_signal(signal.SIGTERM)
+            self.assertEqual(process.wait(20), 0)
+            del discovery
+
+
 if __name__ == "__main__":
     unittest.main()
