Go on with the ledger's time by the machine's steady clock, whatever the wall clock did

Cause: a ledger's records bear the wall clock's time as its owner had it at its start. A process that starts after a step forward took open jobs for overdue and kept answers for out of date. A step back was allowed for. Change: an Opened record names the machine's boot and its steady clock (two fields at the end, with defaults); the next owner goes on by that clock while the boot is the same, else as before. Measured: with the old rule the new test fails (the job asked for again by its name is answered with 500, its kept answer gone); test_crash, test_ledger, test_log and test_core pass.

--- a/eiderpin/core/deadlines.py
+++ b/eiderpin/core/deadlines.py
@@ -17,6 +17,11 @@
     def now(self) -> float:
         return self._offset + time.monotonic() * 1000.0
 
+    def since_boot(self) -> float:
+        """ms on the machine's own steady clock, which all processes have in common from one boot to the
+        next."""
+        return time.monotonic() * 1000.0
+
 
 class Deadline:
     __slots__ = ("at", "call")
--- a/eiderpin/jobs/keeper.py
+++ b/eiderpin/jobs/keeper.py
@@ -27,15 +27,25 @@
 TRY_AGAIN = 500.0  # ms between looks whether a failed disk has come back
 TELL_BEFORE = 2.0  # ms before a job's deadline at which a client hears, whatever the disk does
 EXPIRE_RECORDS = 4096  # records read between looks at what need not be kept
+BOOT_ID = "/proc/sys/kernel/random/boot_id"
 EXPIRE_EVERY = 1000.0  # ms between looks for answers that need not be kept any longer
 
 
+def boot_id() -> str:
+    """What tells this boot of the machine from any other; empty where it does not say."""
+    try:
+        with open(BOOT_ID) as file:
+            return file.read().strip()
+    except OSError:
+        return ""
+
+
 class JobKeeper:
     """Implements `core.durability.Keeper`. Raises `Locked`, `BadFormat`, `Damaged`, `BrokenRule` and
     `OSError` where the ledger cannot be read or owned."""
 
     def __init__(self, core: Dispatcher, options: Options, name: str, files: Files | None = None) -> None:
-        self.core, self.options = core, options
+        self.core, self.options, self.name = core, options, name
         single = {c.name for c in core.settings.classes if c.repeat is not api.Repeat.FREE}
         self.single = tuple(sorted(single & options.classes))
         self.ledger = Ledger(
@@ -44,18 +54,31 @@
         files = files if files is not None else Files(options.folder)
         self._read = 0
         self.log = Log(files, self.read)
-        # A clock that has stepped back must give no job more time than it had.
-        self.ahead = max(0.0, self.ledger.last_at - core.clock.now())
-        self.name = name
+        self.boot = boot_id()
+        self.ahead = self._ahead()
         self.recovered = False
         self.behind: set[int] = set()  # jobs of which the disk does not hold all, since it had failed
         self._silences: dict[Attempt, Deadline] = {}
         self._held: dict[int, int] = {}  # job to how many of its records are not known to be on disk
         self._unwritten: set[int] = set()  # jobs whose taking on the disk has refused
         self._waits: dict[int, list[Callable[[bool], None]]] = {}
-        self.put(Opened(self.now(), self.ledger.term + 1, name, self.single))
+        self.put(self.opened(self.ledger.term + 1))
         self.expire()
 
+    def _ahead(self) -> float:
+        """ms by which the ledger's time is ahead of the core's, so that it goes on from where it was: by the
+        machine's steady clock while that is the last owner's, for the wall clock may have stepped meanwhile.
+        A step back gives no job more time than it had, a step forward takes none from it, nor a kept answer
+        from one who asks again."""
+        clock, ledger = self.core.clock, self.ledger
+        continued = ledger.time_at(self.boot, clock.since_boot())
+        is_known = ledger.since_boot_at(ledger.last_at) > 0 and continued > ledger.last_at
+        return continued - clock.now() if is_known else max(0.0, ledger.last_at - clock.now())
+
+    def opened(self, term: int) -> Opened:
+        """The record by which we own the ledger in this term."""
+        return Opened(self.now(), term, self.name, self.single, self.boot, self.core.clock.since_boot())
+
     def now(self) -> float:
         """The ledger's time: the core's, but never behind what has been written."""
         return self.core.clock.now() + self.ahead
@@ -105,7 +128,7 @@
         if self.log.came_back():
             # What has happened since the snapshot that brought it back is not in that one.
             self.log.checkpoint(self.snapshot())
-            self.put(Opened(self.now(), self.ledger.term, self.name, self.single), self.back)
+            self.put(self.opened(self.ledger.term), self.back)
             return
         self.log.try_again(self.snapshot())
         deadlines.set(clock.now() + TRY_AGAIN, self.look_again)
--- a/eiderpin/jobs/ledger.py
+++ b/eiderpin/jobs/ledger.py
@@ -89,6 +89,7 @@
         self.term = 0
         self.owner = ""
         self.last_at = 0.0  # of all records: time never goes back behind it
+        self._opened: Opened | None = None  # the last: it ties the records' time to the steady clock
         self.last_job = 0
         self._names: dict[tuple[str, str], int] = {}
         self._wires: dict[str, int] = {}  # of each id that workers know, the last job that had it
@@ -132,6 +133,7 @@
             if record.term < self.term:
                 raise BrokenRule(f"term {record.term} after term {self.term}")
             self.term, self.owner, self.single = record.term, record.name, frozenset(record.single)
+            self._opened = record
         elif isinstance(record, Accepted):
             self._accepted(record)
         else:
@@ -220,13 +222,29 @@
             gone += 1
         return gone
 
+    def since_boot_at(self, at: float) -> float:
+        """The machine's steady clock at a time of the records, by the last owner's; 0 where that is not
+        known."""
+        opened = self._opened
+        return opened.since_boot + at - opened.at if opened is not None and opened.boot else 0.0
+
+    def time_at(self, boot: str, since_boot: float) -> float:
+        """The records' time when the machine's steady clock stands so; at least that of the last record,
+        which it is where the machine has booted since."""
+        opened = self._opened
+        if opened is None or not opened.boot or opened.boot != boot:
+            return self.last_at
+        return max(self.last_at, opened.at + since_boot - opened.since_boot)
+
     @property
     def open_jobs(self) -> int:
         return len(self.jobs) - len(self._ended)
 
     def snapshot(self) -> Iterator[AnyRecord]:
         """Records that say all that is known now."""
-        yield Opened(self.last_at, self.term, self.owner, tuple(sorted(self.single)))
+        boot = self._opened.boot if self._opened is not None else ""
+        steady = self.since_boot_at(self.last_at)
+        yield Opened(self.last_at, self.term, self.owner, tuple(sorted(self.single)), boot, steady)
         for job in self.jobs.values():
             yield job.accepted
             for lease in job.leases:
--- a/eiderpin/jobs/records.py
+++ b/eiderpin/jobs/records.py
@@ -20,6 +20,8 @@
     term: int  # one more than that of the owner before
     name: str
     single: tuple[str, ...] = ()  # classes that may not run twice, from here on
+    boot: str = ""  # the boot of its machine; empty: not known
+    since_boot: float = 0.0  # ms on the machine's steady clock at `at`
 
 
 class Accepted(msgspec.Struct, array_like=True, frozen=True, gc=False):
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -33,6 +33,9 @@
     def now(self) -> float:
         return self.at
 
+    def since_boot(self) -> float:
+        return self.at
+
 
 class Gate(selectors.DefaultSelector):
     """Holds back what the test does not want seen yet, and gives the rest in the order that it wants."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -25,6 +25,9 @@
     def now(self) -> float:
         return self.at
 
+    def since_boot(self) -> float:
+        return self.at
+
 
 class Link:
     """Notes what it is asked and does nothing of itself."""
--- a/tests/test_crash.py
+++ b/tests/test_crash.py
@@ -230,6 +230,29 @@
             self.assertEqual(peer.ask(Kind.GET_STATUS_UNIQUE, b"a2").args[1], b"1")
             peer.close()
 
+    def test_a_clock_that_has_stepped_forward_takes_no_time_and_no_kept_answer(self) -> None:
+        """Each start finds the wall clock an hour ahead of where the last process left it."""
+        ahead = "import time\nreal = time.time\ntime.time = lambda: real() + {hours} * 3600.0\n"
+        with installation(keep_s=600) as it:
+            first = it.start()
+            held = post_behind(first, "b1")
+            wait_for(lambda: it.ran["b1"], "the job to be out")
+            it.keeps.go.set()
+            self.assertEqual(post(first, "a1"), (200, b"ran a1"))
+            held.join(20)
+            it.keeps.go.clear()
+            held = post_behind(first, "c1")
+            wait_for(lambda: it.ran["c1"], "the job to be out")
+            it.kill()
+            for hours in (1, 2):
+                again = it.start(ahead.format(hours=hours))
+                self.assertEqual(post(again, "a1"), (200, b"ran a1"))  # kept, and not run once more
+                if hours == 1:
+                    it.kill()
+            it.keeps.go.set()
+            self.assertEqual(post(again, "c1"), (200, b"ran c1"))  # its time is not over
+            self.assertEqual({name: it.ran[name] for name in ("a1", "b1", "c1")}, {"a1": 1, "b1": 1, "c1": 1})
+
     def test_a_job_that_runs_when_the_dispatcher_is_killed_ends_with_its_workers_word(self) -> None:
         with installation() as it:
             first = it.start()
