Send no rest of a request for a client that has gone, and bound what is kept of clock steps

Cause: a server begins at the last byte; where its socket takes the rest of a long request in the turn in which the client's end is seen, the order was the selector's. Each step of the wall clock was kept for good, and starts of servers that are gone. Change: a look at the request's clients before the rest goes out; 16 offsets are kept, and starts only of servers that are listed. Measured: the new case fails without the look.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -336,7 +336,7 @@
         to get there: is somebody still waiting, does the worker still take new work, and do the decisions
         still stand by it (its window, its deadline, what else of the job may have run)?"""
         request, now = attempt.request, self.clock.now()
-        if attempt.ended or not request.wanted or self._is_deserted(request):
+        if attempt.ended or not request.wanted or self.is_deserted(request):
             return False
         grace = self.settings.drain_grace - GRACE_MARGIN
         if not attempt.entry.may_be_sent(now, grace):
@@ -352,7 +352,7 @@
         until = min(attempt.made_at + attempt.timeout, attempt.request.deadline - ANSWER_MARGIN)
         return until - self.clock.now()
 
-    def _is_deserted(self, request: Request) -> bool:
+    def is_deserted(self, request: Request) -> bool:
         """Whether all who wait have gone by now: the process may have been held up, and what is ready first
         in a turn of the loop need not have come first."""
         if request.background or request.job or not all(w.has_left() for w in request.waiters):
--- a/eiderpin/core/wall_clock.py
+++ b/eiderpin/core/wall_clock.py
@@ -15,6 +15,7 @@
 STEP = 200.0  # ms; a smaller change of the offset is no step
 CLOSE_TOGETHER = 5.0  # ms; two readings further apart say nothing of the offset: we were held up between them
 TRIES = 3
+MOST_OFFSETS = 16  # the oldest goes
 AHEAD = 1000.0  # ms by which a time may lie ahead of ours and still be meant as it stands
 
 
@@ -55,7 +56,7 @@
         if abs(value - last.value) < STEP:
             last.last_seen = now
         else:
-            self.offsets.append(Offset(value, now, now))
+            self.offsets = [*self.offsets[1 - MOST_OFFSETS :], Offset(value, now, now)]
 
     def steady(self, wall: float) -> float:
         """The moment at which the wall clock showed this time, on the steady clock; now, if it fits none."""
--- a/eiderpin/net/discovery.py
+++ b/eiderpin/net/discovery.py
@@ -225,7 +225,7 @@
     def on_our_clock(self, entries: Entries) -> Entries:
         """The same entries, with the times of their workers' starts on the dispatcher's clock."""
         for entry, _ in entries:
-            if entry.born is None:
+            if entry.born is None or entry.state is api.WorkerState.GONE:
                 self.starts.pop(entry.name, None)
                 continue
             told, start = self.starts.get(entry.name, (0.0, 0.0))
--- a/eiderpin/net/loop.py
+++ b/eiderpin/net/loop.py
@@ -50,7 +50,7 @@
     __slots__ = (
         "loop", "sock", "number", "connecting", "closed", "unsent", "closing", "on_open",
         "on_data", "on_end", "on_flushed", "on_closed", "taken", "mask", "dropped", "end_at", "receive",
-        "waited", "retry", "queued",
+        "waited", "retry", "queued", "on_writable",
     )  # fmt: skip
 
     def __init__(self, loop: Loop, sock: socket.socket, connecting: bool) -> None:
@@ -64,6 +64,7 @@
         self.on_open: Callable[[], None] = _nothing
         self.on_data: Callable[[bytes], None] = _nothing_of
         self.on_end: Callable[[], None] = _nothing  # the peer has closed, or the stream broke
+        self.on_writable: Callable[[], None] = _nothing  # the rest of what was written may go out now
         self.on_flushed: Callable[[], None] = _nothing
         self.on_closed: Callable[[], None] = _nothing  # the descriptor is free again, whoever closed
         self.dropped = 0  # bytes read and dropped since we began to close
@@ -91,6 +92,7 @@
                 self._want()
             return
         if mask & WRITE and not self.closed:
+            self.on_writable()
             self._flush()
         if mask & READ and not self.closed:
             # While it waits here, its end may stand right behind what it sends, and more must not be done for
@@ -160,6 +162,8 @@
             return error.errno not in SHORTAGES
 
     def _flush(self) -> None:
+        if self.closed:
+            return
         try:
             while self.unsent:
                 sent = self.sock.send(self.unsent)
@@ -193,6 +197,7 @@
     def _try_again(self) -> None:
         self.loop.selector.register(self.sock, self.mask, self.ready)
         if self.unsent:
+            self.on_writable()
             self._flush()
 
     def _shut(self) -> None:
--- a/eiderpin/net/workers.py
+++ b/eiderpin/net/workers.py
@@ -55,6 +55,7 @@
         self.rested_at = self.begun_at = 0.0
         self.stood = 0.0  # ms for which it stood idle before this exchange
         conn.on_open, conn.on_data, conn.on_end = self.opened, self.data, self.ended
+        conn.on_writable = self.writable
 
     def begin(self, payload: bytes, attempt: Attempt | None) -> None:
         """Take one exchange on, a call's request or an attempt; it is written once the connection is up."""
@@ -92,6 +93,14 @@
         self.conn.on_flushed = self.flushed
         self.conn.write(self.payload)
 
+    def writable(self) -> None:
+        """The rest of the request may go out: a worker begins at its last byte, so that is not sent any more
+        for clients that have gone meanwhile."""
+        attempt, core = self.attempt, self.workers.core
+        if self.life is Life.SENDING and attempt is not None and core.is_deserted(attempt.request):
+            self.close()
+            core.ended(attempt, api.Outcome.NOT_SENT)
+
     def flushed(self) -> None:
         if self.life is not Life.SENDING:
             return
--- a/tests/test_client_leaves.py
+++ b/tests/test_client_leaves.py
@@ -126,7 +126,13 @@
             self.assertEqual(len(stage.service.edge.connections), 0)
 
     def test_with_most_of_a_request_out_the_rest_is_not_sent(self) -> None:
-        """A worker begins at the last byte: what its socket would not take yet is not sent after all."""
+        """A worker begins at the last byte: what its socket would not take yet is not sent after all, also
+        where it takes it in the very turn in which the client's end is seen."""
+        for held_up in (False, True):
+            with self.subTest(held_up=held_up):
+                self.rest_is_not_sent(held_up)
+
+    def rest_is_not_sent(self, held_up: bool) -> None:
         with staged(settings=settings(False)) as stage:
             client = stage.client()
             client.say(job("result-post", "a", body=bytes(60_000)))
@@ -144,7 +150,7 @@
                     if not self.left:
                         raise BlockingIOError
                     taken = conn_sock.send(bytes(data[: self.left]))
-                    self.left -= taken
+                    type(self).left -= taken
                     return taken
 
                 def __getattr__(self, name: str) -> object:
@@ -154,6 +160,9 @@
             stage.let()
             conn.sock = Narrow()  # type: ignore[assignment]
             stage.until(lambda: conn.taken == 10_000, "a part of the request")
+            if held_up:
+                stage.first(lambda found: found is conn)
+                Narrow.left = 100_000
             client.close()
             stage.until(lambda: gone(stage), "the client's end")
             stage.pass_time(100)
