Show that a new process sends by its stored list before discovery has told it anything

All four changes reach 130 dispatchers within 0.31 s. The other 68 were stopped at 10.49 s and begin again at 28.73 s with the list as they had it before, generation 0; their first calls are spread over 2.5 s, as they should be, and are answered within 20 ms. The requests in question go out between the start of such a process and its first answer: servers that were gone have just come back, cold, under their old names. Ruled out: the wait between failed calls (none failed), a silent call (none), an answer from an older generation (none), one that came and was dropped (none).

The tests bring the same about on real sockets, with discovery failing in ten ways at four moments, and fail.

--- /dev/null
+++ b/tests/test_stored_list.py
@@ -0,0 +1,123 @@
+"""A new process, and the list of servers that was stored before it began.
+
+What happens: a dispatcher that begins again is given the list as its last process had it. It sent requests by
+that list at once, though discovery's list had changed while no process of it ran: to servers that were gone,
+and to such as had come back, cold, under the same name.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import pytest
+
+from tests.crossing import Peer, Stage, Worker, job
+from tests.test_discovery_ends import FAILURES, Agent, run
+
+INSTANCES = 200
+ON_REQUEST: dict[str, Any] = {
+    "discovery": "on_request",
+    "n_instances": INSTANCES,
+    "rules": {"ask_within": 10_000.0, "drain_grace": 500.0},
+}
+EARLY = {**ON_REQUEST, "slot_no": 0}  # it asks first of all
+LATE = {**ON_REQUEST, "slot_no": INSTANCES - 1}  # and last
+PUSHED: dict[str, Any] = {}
+KNOWN_WITHIN = 6000.0  # ms; the operators' term for a change of the list
+EVERY = 200.0  # ms between two requests
+
+
+@contextmanager
+def restarted(settings: dict[str, Any], fails: Callable[[Peer], None] | None) -> Iterator[Restart]:
+    """A process that begins with a stored list of two servers, of which `w0` has begun to drain since;
+    discovery fails in this way at first."""
+    agent, workers = Agent(), [Worker("w0"), Worker("w1")]
+    for worker in workers:
+        agent.list(worker)
+    rows = [dict(row) for row in agent.rows.values()]
+    known = {"generation": agent.generation, "reset": True, "instances": rows}
+    agent.list(workers[0], "Terminating")
+    agent.fails = fails
+    stage = Stage(0, discovery=agent.address, settings=settings, known=known)
+    stage.workers = workers
+    try:
+        yield Restart(stage, agent)
+    finally:
+        stage.close()
+        agent.close()
+
+
+class Restart:
+    """The process, discovery, and clients that keep sending requests."""
+
+    def __init__(self, stage: Stage, agent: Agent) -> None:
+        self.stage, self.agent = stage, agent
+        self.requests = 0
+
+    def serve(self, ms: float) -> None:
+        """Let time pass, with a request now and then."""
+        until = self.stage.clock.at + ms
+        while self.stage.clock.at < until:
+            self.stage.client().say(job("time-lookup", f"r{self.requests}", wait=7000))
+            self.requests += 1
+            run(self.stage, self.agent, ms=EVERY)
+
+    def begun_at(self, worker: int) -> list[str]:
+        return self.stage.workers[worker].begun()
+
+    @property
+    def readiness(self) -> str:
+        return self.stage.service.readiness().split()[0]
+
+
+@pytest.mark.parametrize("lasts", [0.0, 60.0, 900.0, 2000.0])
+@pytest.mark.parametrize("fails", FAILURES)
+@pytest.mark.parametrize("settings", [EARLY, LATE], ids=["early", "late"])
+def test_no_request_goes_to_a_server_that_left_the_list_before_the_start(
+    settings: dict[str, Any], fails: str, lasts: float
+) -> None:
+    """Requests come from the first moment; discovery cannot be reached at first, in each way."""
+    with restarted(settings, FAILURES[fails] if lasts else None) as begun:
+        begun.serve(lasts)
+        begun.agent.fails = None
+        begun.serve(KNOWN_WITHIN + 1000.0)
+        assert begun.begun_at(0) == []
+        assert begun.begun_at(1)
+
+
+@pytest.mark.parametrize("lasts", [100.0, 600.0])
+def test_nor_where_an_agent_has_the_list_and_is_slow_to_tell(lasts: float) -> None:
+    with restarted(PUSHED, FAILURES["silent"]) as begun:
+        run(begun.stage, begun.agent, ms=20)
+        for number in range(8):
+            begun.stage.client().say(job("time-lookup", f"r{number}", wait=7000))
+        run(begun.stage, begun.agent, ms=lasts)
+        assert begun.begun_at(0) == []
+
+
+def test_what_came_meanwhile_is_served_once_discovery_has_answered() -> None:
+    with restarted(EARLY, None) as begun:
+        assert begun.readiness == "down"
+        begun.serve(1000.0)
+        assert begun.readiness == "up"
+        assert len(begun.begun_at(1)) == begun.requests
+
+
+@pytest.mark.parametrize(
+    ("settings", "quiet", "latest"),
+    [(EARLY, 5400.0, KNOWN_WITHIN), (LATE, 5400.0, KNOWN_WITHIN), (PUSHED, 400.0, 1000.0)],
+    ids=["early", "late", "pushed"],
+)
+def test_where_discovery_stays_away_it_serves_by_what_is_stored(
+    settings: dict[str, Any], quiet: float, latest: float
+) -> None:
+    """A list that may be old is better than none, once nobody can tell a newer one."""
+    with restarted(settings, FAILURES["silent"]) as begun:
+        begun.serve(quiet)
+        assert (begun.begun_at(0), begun.begun_at(1)) == ([], [])
+        assert begun.readiness == "down"
+        begun.serve(latest - quiet + 400.0)
+        assert begun.begun_at(0) or begun.begun_at(1)
+        assert begun.readiness == "up"
