Ask discovery for the list though another source has told of a worker first

What was seen, on looking for the same fault elsewhere: where lists are asked for, a worker of a front, an override by operators or a server that a durable job was recovered for came to the decisions as any list does, and passed for discovery's answer. Before the first call that call was never made: the process went on by its stored list for good. After a failed call the next one was dropped in the same way.

Cause: a membership event did not say whether it answers a call to discovery. It does now, and only such an event ends a call, a wait or the time for which a stored list is held back. The test fails without it.

--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -414,7 +414,8 @@
     # -- membership
 
     def on_membership(self, event: api.Membership) -> None:
-        self.list_watch.take(event, self.now)
+        if event.by_discovery:
+            self.list_watch.take(event, self.now)
         if event.kind is api.ListKind.FAILED:
             return
         held = event.kind is api.ListKind.STORED and self.list_watch.holds(self.now)
--- a/tests/test_stored_list.py
+++ b/tests/test_stored_list.py
@@ -15,10 +15,12 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 from typing import Any
 
 import pytest
 
+from eiderpin import interface as api
 from tests.crossing import Peer, Stage, Worker, job
 from tests.test_discovery_ends import FAILURES, Agent, run
 
@@ -136,3 +138,14 @@
         assert (begun.begun_at(0), begun.begun_at(1)) == ([], [])
         begun.serve(latest - quiet)
         assert begun.begun_at(0) or begun.begun_at(1)
+
+
+def test_a_front_that_tells_of_a_worker_answers_no_call_to_discovery() -> None:
+    """A worker of another source came before the first call: then discovery was never asked at all."""
+    with restarted(LATE, None) as begun:
+        core, link = begun.stage.core, begun.stage.service.workers
+        other = replace(core.entries["w1"].listed, name="w2")
+        core.list_told(link, api.ListKind.CHANGES, [(other, begun.stage.workers[1].address)])
+        begun.serve(KNOWN_WITHIN)
+        assert not core.entries["w0"].in_service
+        assert begun.begun_at(0) == []
