Tell in the log when discovery does not tell the list, why, and how old the list is

What on-call staff saw: nothing. At level info the log held only `listens` while a dispatcher's list was old; counters told calls that failed by reason, but not since when. Which call failed, and whether any did, had to be traced by lines written for it. Now the first failure in a row is a warning with its reason, the generation and the age of the list, the next answer an event with how many calls failed, and SIGUSR1 tells the age. A connection that cannot be begun is counted as well.

--- a/eiderpin/net/discovery.py
+++ b/eiderpin/net/discovery.py
@@ -1,7 +1,11 @@
-"""The watch on discovery's list."""
+"""The watch on discovery's list.
+
+An event tells when calls begin to fail, and when the list is known again; `list_age` how old it is.
+"""
 
 from __future__ import annotations
 
+import logging
 from typing import Any
 
 import orjson
@@ -14,6 +18,8 @@
 from eiderpin.net import http
 from eiderpin.net.loop import Connection, Loop
 
+logger = logging.getLogger("eiderpin")
+
 # Whatever discovery has to tell counts as told 6 s after it had it and could be reached, heard or not. What
 # these add up to must stay below that: a call that falls silent as it begins (WAIT + SILENCE), then one that
 # answers at once. Where the decisions say when to ask again, they count from when a call began (`ListWatch`).
@@ -93,6 +99,9 @@
         self.asked = False  # a call has begun
         self.told = False  # discovery has answered us
         self.sure = False  # it has answered since the last failure
+        self.began_at = loop.clock.now()
+        self.answered_at: float | None = None  # when it last told what there is
+        self.failures = 0  # calls in a row that failed
         self.newest: int | None = None  # the latest generation that it told, and since when only older ones
         self.older_since: float | None = None
         self.on_request = core.settings.must_ask
@@ -120,6 +129,28 @@
         self.conn = None
         self.ask()
 
+    @property
+    def list_age(self) -> float:
+        """ms since discovery last told what there is; since the process began, where it never did."""
+        last = self.began_at if self.answered_at is None else self.answered_at
+        return self.loop.clock.now() - last
+
+    def note_failure(self, reason: str) -> None:
+        """Count a call that failed; the first one in a row is an event."""
+        self.core.counters.add(f"in.discovery_{reason}")
+        self.failures += 1
+        if self.failures == 1:
+            fields = {"reason": reason, "generation": self.generation, "list_age_ms": round(self.list_age)}
+            logger.warning("discovery does not tell the list", extra=fields)
+
+    def note_answer(self, generation: int) -> None:
+        """The list is known to be up to date: an event at the start, and after calls that failed."""
+        if self.answered_at is None or self.failures:
+            fields = {"generation": generation, "failed_calls": self.failures,
+                      "list_age_ms": round(self.list_age)}  # fmt: skip
+            logger.info("discovery tells the list", extra=fields)
+        self.answered_at, self.failures = self.loop.clock.now(), 0
+
     def watch(self) -> None:
         """The decisions want a watch to begin now; one that stands, or is being asked for, goes on."""
         if self.conn is None:
@@ -138,6 +169,7 @@
         if self.conn is None:
             self.conn = self.loop.connect(self.where)
             if self.conn is None:
+                self.note_failure("not_connected")
                 self.failed()
                 return
             self.reader = http.ResponseReader(MOST_LIST)
@@ -149,7 +181,7 @@
         self.conn.write(http.request("GET", target, (host,)))
 
     def silent(self) -> None:
-        self.core.counters.add("in.discovery_silent")
+        self.note_failure("silent")
         self.failed()
 
     def ended(self) -> None:
@@ -159,7 +191,7 @@
         if last is not None:
             self.take([last])
             return
-        self.core.counters.add("in.discovery_closed")
+        self.note_failure("closed")
         self.failed()
 
     def failed(self, pause: float = PAUSE) -> None:
@@ -184,7 +216,7 @@
 
     def bad(self) -> None:
         """What came is no answer, or no list: the whole list is asked for next."""
-        self.core.counters.add("in.discovery_bad")
+        self.note_failure("bad")
         self.generation = None
         self.failed()
 
@@ -201,12 +233,12 @@
         if message.status != 200:
             if message.status < 500:
                 self.generation = None  # it cannot make sense of ours; one that is too busy could
-            self.core.counters.add("in.discovery_refused")
+            self.note_failure("refused")
             self.failed()
             return
         generation, whole, entries = read_list(orjson.loads(message.body))
         if self.is_older(generation):
-            self.core.counters.add("in.discovery_older")
+            self.note_failure("older")
             self.failed(OLDER_PAUSE)
             return
         if generation < (self.newest or 0) and not whole:
@@ -214,6 +246,7 @@
             self.failed()
             return
         self.core.counters.add("in.lists")
+        self.note_answer(generation)
         self.generation = self.newest = generation
         self.older_since = None
         self.told = self.sure = True
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -473,6 +473,8 @@
         """Print all counters on standard error, as SIGUSR1 asks for."""
         if self.control_plane is not None:
             self.counters.counts["observer.age_ms"] = int(self.control_plane.observer.age)
+        if self.discovery is not None:
+            self.counters.counts["discovery.list_age_ms"] = int(self.discovery.list_age)
         lines = ["counters", *self.counters.lines(), "end of counters"]
         with contextlib.suppress(OSError):  # whoever reads them may have gone, and we serve on
             print("\n".join(lines), file=sys.stderr, flush=True)
--- a/tests/test_discovery_ends.py
+++ b/tests/test_discovery_ends.py
@@ -179,6 +179,33 @@
                 self.assertLessEqual(len(stage.loop.connections), 1)
 
 
+class Events(unittest.TestCase):
+    def test_an_outage_is_told_at_its_beginning_and_at_its_end(self) -> None:
+        """With the reason, the generation that is known and how old the list is; not at each call."""
+        for settings in ({}, ON_REQUEST):
+            with (
+                self.subTest(on_request=bool(settings)),
+                watching(**settings) as (stage, agent),
+                self.assertLogs("eiderpin", "INFO") as logged,
+            ):
+                agent.fails = FAILURES["silent"]
+                agent.list(stage.workers[1])
+                known = agent.generation - 1
+                run(stage, agent, ms=9000)
+                agent.fails = None
+                watch = stage.service.discovery
+                assert watch is not None
+                run(stage, agent, until=lambda w=watch: w.failures == 0)
+                began, ended = logged.records
+                self.assertEqual(began.getMessage(), "discovery does not tell the list")
+                self.assertEqual((began.__dict__["reason"], began.levelname), ("silent", "WARNING"))
+                self.assertIn(began.__dict__["generation"], (known, known + 1))
+                self.assertEqual(ended.getMessage(), "discovery tells the list")
+                self.assertGreaterEqual(ended.__dict__["failed_calls"], 2)
+                self.assertGreater(ended.__dict__["list_age_ms"], 6000)
+                self.assertLess(watch.list_age, 100)
+
+
 class OlderLists(unittest.TestCase):
     def test_one_that_lies_before_what_was_told_brings_no_worker_back(self) -> None:
         with watching() as (stage, agent):
