--- a/eiderpin/net/discovery.py
+++ b/eiderpin/net/discovery.py
@@ -144,8 +144,8 @@
             logger.warning("discovery does not tell the list", extra=fields)
 
     def note_answer(self, generation: int) -> None:
-        """The list is known to be up to date: an event at the start, and after calls that failed."""
-        if self.answered_at is None or self.failures:
+        """The list is known to be up to date: an event after calls that failed."""
+        if self.failures:
             fields = {"generation": generation, "failed_calls": self.failures,
                       "list_age_ms": round(self.list_age)}  # fmt: skip
             logger.info("discovery tells the list", extra=fields)
