Let no log event hold the dispatcher up, whoever reads it or does not

What callers saw: with standard error a pipe that nobody reads, a dispatcher stopped serving once the pipe was full. At level debug, before servers that hang, it left requests without an answer at SIGTERM and was still there at SIGKILL; at info the same comes later.

Cause: events were written by the loop as they came, and a write to a full pipe waits.

The change: events go to a stream that never waits. The counters that SIGUSR1 and the end print take the same way.

--- a/eiderpin/logs.py
+++ b/eiderpin/logs.py
@@ -12,6 +12,8 @@
 import sys
 from typing import Any
 
+from eiderpin.log_stream import LogHandler, LogStream, nowhere, without_waiting
+
 LEVELS = ("debug", "info", "warning", "error")
 FORMATS = ("auto", "logfmt", "json")
 FIELDS = {"asctime": "time", "levelname": "level", "message": "msg"}
@@ -19,18 +21,19 @@
 logger = logging.getLogger("eiderpin")
 
 
-def set_up(name: str, form: str = "", level: str = "") -> None:
-    """Events go to standard error from now on, as dispatcher `name`. What is not given is taken from
-    EIDERPIN_LOG_FORMAT and EIDERPIN_LOG_LEVEL. Raises `ValueError` for a format or level that there is
-    not."""
+def set_up(name: str, form: str = "", level: str = "") -> LogStream:
+    """Events go to standard error from now on, as dispatcher `name`, and hold nobody up. What is not given
+    is taken from EIDERPIN_LOG_FORMAT and EIDERPIN_LOG_LEVEL. Raises `ValueError` for a format or level that
+    there is not. Returns the stream, which whoever runs the loop has to push on now and then."""
     form = form or os.environ.get("EIDERPIN_LOG_FORMAT", "auto")
     level = level or os.environ.get("EIDERPIN_LOG_LEVEL", "info")
     if form not in FORMATS:
         raise ValueError(f"log format {form!r}: one of {', '.join(FORMATS)} is expected")
     if level not in LEVELS:
         raise ValueError(f"log level {level!r}: one of {', '.join(LEVELS)} is expected")
-    handler = logging.StreamHandler(sys.stderr)
-    terminal = form == "logfmt" or (form == "auto" and sys.stderr.isatty())
+    stream = LogStream(without_waiting(sys.stderr.fileno()) if sys.stderr is not None else nowhere)
+    handler = LogHandler(stream)
+    terminal = form == "logfmt" or (form == "auto" and sys.stderr is not None and sys.stderr.isatty())
     handler.setFormatter(_logfmt() if terminal else _json())
 
     def named(record: logging.LogRecord) -> bool:
@@ -41,6 +44,7 @@
     logger.handlers[:] = [handler]
     logger.propagate = False
     logger.setLevel(level.upper())
+    return stream
 
 
 def _logfmt() -> logging.Formatter:
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -29,6 +29,7 @@
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Clock, Deadlines
 from eiderpin.core.dispatcher import Dispatcher
+from eiderpin.log_stream import LogStream
 from eiderpin.net import discovery
 from eiderpin.net.edge import Away, Edge
 from eiderpin.net.loop import Loop
@@ -69,6 +70,7 @@
 
     def __init__(self, config: Config, path: str | None = None) -> None:
         self.config, self.path = config, path
+        self.log_stream: LogStream | None = None  # None: events go where the embedding program has them go
         self.clock, self.deadlines, self.counters = Clock(), Deadlines(), Counters()
         self.loop = Loop(self.clock, self.deadlines, self.counters)
         self.core = Dispatcher(config.settings, config.seed, self.clock, self.deadlines, self.counters)
@@ -476,8 +478,12 @@
         if self.discovery is not None:
             self.counters.counts["discovery.list_age_ms"] = int(self.discovery.list_age)
         lines = ["counters", *self.counters.lines(), "end of counters"]
-        with contextlib.suppress(OSError):  # whoever reads them may have gone, and we serve on
-            print("\n".join(lines), file=sys.stderr, flush=True)
+        for line in lines:
+            if self.log_stream is not None:
+                self.log_stream.add(f"{line}\n".encode(), logging.INFO)
+            else:
+                with contextlib.suppress(OSError):  # whoever reads them may have gone, and we serve on
+                    print(line, file=sys.stderr, flush=True)
 
     def turn(self) -> None:
         """One turn of the loop."""
@@ -491,6 +497,8 @@
 
     def after_turn(self) -> None:
         self.core.decide()
+        if self.log_stream is not None:
+            self.log_stream.push()
         if self.ledger is not None:
             self.ledger.push()
         if self.store is not None:
@@ -545,8 +553,9 @@
     path = path or os.environ.get("GW_CONFIG")
     try:
         config = load(path, parts)
-        logs.set_up(config.name, log_format, log_level)
+        log_stream = logs.set_up(config.name, log_format, log_level)
         service = Service(config, path)
+        service.log_stream = log_stream
     except (OSError, ValueError) as error:
         print(f"eiderpin: {error}".replace("\n", " "), file=sys.stderr)
         return 2
