--- a/eiderpin/log_stream.py
+++ b/eiderpin/log_stream.py
@@ -63,12 +63,17 @@
         self._number = 0
         self._bytes = 0
         self._rest = b""  # of the line that is being written ...
-        self._rest_stands_for: Counter[int] = Counter()  # ... and the lines by level that are lost with it
+        self._rest_level = 0  # ... its level; 0: it tells of lost lines, ...
+        self._told: Counter[int] = Counter()  # ... of these
         self.lost: Counter[int] = Counter()  # lines by level, since the last time that this was told
         self.tell_lost: Callable[[Counter[int]], bytes] | None = None  # makes a line of it
 
     def add(self, line: bytes, level: int) -> None:
         """Write a line, now or as soon as there is room."""
+        if not (self._rest or self._bytes or self.lost):
+            self._rest, self._rest_level = line, level
+            self.push()
+            return
         self._number += 1
         self._waiting.setdefault(level, deque()).append((self._number, line))
         self._bytes += len(line)
@@ -92,12 +97,12 @@
     def _next_line(self) -> bytes:
         """The line that comes next: of those that were lost, or the first that waits."""
         if self.lost and self.tell_lost is not None:
-            self._rest_stands_for, self.lost = self.lost, Counter()
-            return self.tell_lost(self._rest_stands_for)
+            self._told, self.lost, self._rest_level = self.lost, Counter(), 0
+            return self.tell_lost(self._told)
         level = min(self._levels(), key=lambda lev: self._waiting[lev][0])
         line = self._waiting[level].popleft()[1]
         self._bytes -= len(line)
-        self._rest_stands_for = Counter({level: 1})
+        self._rest_level = level
         return line
 
     def _levels(self) -> list[int]:
@@ -112,7 +117,7 @@
     def _lose_all(self) -> None:
         """Nobody takes lines now; whoever comes back is told how many there were."""
         self._rest = b""
-        self.lost += self._rest_stands_for
+        self.lost += Counter({self._rest_level: 1}) if self._rest_level else self._told
         while self._bytes:
             self._lose_one()
 
