Explain the call-backs reset in teardowns of the upgrade's tests: the test kills their dispatcher

Three to four warnings in every whole run. Whose connection: a held call-back of the stand-in server, which the teardown releases right before it kills the dispatchers with SIGKILL; the call in flight is reset. No answer is lost with it: the test's clients have theirs by then, or have gone. The stand-in passes over the error from the moment the test is over, and raises it as before at any time earlier.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -28,6 +28,7 @@
         self.go = threading.Event()
         self.worker = HttpWorker("h1", self.act)
         self.statuses: list[int] = []
+        self.ended = False  # the test is over, and its dispatchers are killed in the middle of what they do
 
     def act(self, worker: HttpWorker, rid: str, handler: Any) -> None:
         if rid.startswith("q"):
@@ -39,7 +40,11 @@
 
         def later() -> None:
             self.go.wait(20)
-            self.statuses.append(worker.tell(rid, "done", result=f"ran {rid}"))
+            try:
+                self.statuses.append(worker.tell(rid, "done", result=f"ran {rid}"))
+            except OSError:
+                if not self.ended:
+                    raise
 
         threading.Thread(target=later, daemon=True).start()
 
@@ -85,6 +90,7 @@
         lines = [line for program in it.programs for line in program.lines]
         assert not [line for line in lines if "Traceback" in line or "invariant" in line], lines
     finally:
+        it.held.ended = True
         it.held.go.set()
         for program in it.programs:
             program.process.kill()
