--- a/tests/test_fleet_discovery.py
+++ b/tests/test_fleet_discovery.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import unittest
+from collections import Counter
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -16,7 +17,7 @@
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Deadlines
 from eiderpin.core.requests import Request
-from eiderpin.net.discovery import Discovery
+from eiderpin.net.discovery import WAIT, Discovery
 from eiderpin.net.loop import Loop
 from tests.test_core import Client, HandClock, Link
 
@@ -148,6 +149,18 @@
         world.run(1000)
         self.assertLess(len(world.service.calls) - before, 40)
 
+    def test_two_hundred_ask_no_more_in_an_outage_and_after_it_than_twice_what_they_do_at_rest(self) -> None:
+        """At rest each renews its watch every 2 s: a hundred calls a second in the mean."""
+        world = World(200, rate=60.0)
+        at_rest = 200 / (WAIT / 1000)
+        world.run(10_000)
+        self.assertEqual(world.know_the_new_worker(), 200)
+        for silent in (False, True, False):
+            world.service.silent, begins = silent, world.clock.now()
+            world.run(8000)
+            seconds = Counter(int(at - begins) // 1000 for at, _ in world.service.calls if at >= begins)
+            self.assertLess(max(seconds.values()), 2 * at_rest)
+
     def test_one_without_any_list_asks_at_once_for_the_whole(self) -> None:
         world = World(1, rate=100.0, known=None)
         world.run(200)
