Review case 2: a worker that is given classes by SIGHUP is still sent other jobs

Cause: Dispatcher.update_worker splits the rounds by class only for a worker that is new. Where a listed worker is given its classes later, by SIGHUP, and none had any before, rounds go on drawing from all workers.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -144,13 +144,16 @@
     """A worker on HTTP with room for `slots` jobs at a time, each of which runs for `run_s` seconds.
 
     It answers 202, says when a job has started, tells progress each second and then the result. Each call is
-    tried until it is answered, at most ten times. Past its slots it turns jobs away (503, Srv-Declined).
+    tried until it is answered, at most ten times. Past its slots it turns jobs away (503, Srv-Declined). With
+    `classes` it runs these only, and answers 404 to the path of another, as any HTTP server would.
     """
 
     def __init__(self, record: Record, name: str, run_s: float, slots: int = 4) -> None:
         self.record, self.name, self.run_s, self.slots = record, name, run_s, slots
         self.callback_address = ""  # where the dispatcher listens
         self.begun: list[tuple[float, str, bytes]] = []  # (when, id, body) of each run that began
+        self.classes: list[str] | None = None  # that it runs; None: all
+        self.unknown: list[str] = []  # ids of the jobs that came for other classes
         self.lock, self.running, self.down = threading.Lock(), 0, False
         worker = self
 
@@ -159,7 +162,13 @@
 
             def do_POST(self) -> None:
                 body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
-                worker.take(self, str(self.headers["Req-Id"]), body)
+                cls, job = self.path.split("?")[0].split("/")[1], str(self.headers["Req-Id"])
+                if worker.classes is not None and cls not in worker.classes:
+                    worker.unknown.append(job)
+                    worker.record.note(worker.name, f"answers 404 to POST {self.path} of {job}: not run here")
+                    self.say(404)
+                    return
+                worker.take(self, job, body)
 
             def do_DELETE(self) -> None:
                 worker.record.note(worker.name, f"is asked to drop {self.path}: running work goes on")
