--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -153,6 +153,7 @@
         self.callback_address = ""  # where the dispatcher listens
         self.begun: list[tuple[float, str, bytes]] = []  # (when, id, body) of each run that began
         self.classes: list[str] | None = None  # that it runs; None: all
+        self.run_s_of: dict[str, float] = {}  # by class, where it differs from `run_s`
         self.unknown: list[str] = []  # ids of the jobs that came for other classes
         self.lock, self.running, self.down = threading.Lock(), 0, False
         worker = self
@@ -168,7 +169,7 @@
                     worker.record.note(worker.name, f"answers 404 to POST {self.path} of {job}: not run here")
                     self.say(404)
                     return
-                worker.take(self, job, body)
+                worker.take(self, job, body, worker.run_s_of.get(cls, worker.run_s))
 
             def do_DELETE(self) -> None:
                 worker.record.note(worker.name, f"is asked to drop {self.path}: running work goes on")
@@ -181,7 +182,7 @@
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
         self.address = f"127.0.0.1:{self.server.server_address[1]}"
 
-    def take(self, handler: _Handler, job: str, body: bytes) -> None:
+    def take(self, handler: _Handler, job: str, body: bytes, run_s: float) -> None:
         """Begin a job whose last byte has come, or turn it away."""
         with self.lock:
             full = self.running >= self.slots
@@ -195,16 +196,16 @@
         self.record.note(self.name, f"BEGINS {job} ({body.decode('latin-1')[:60]})")
         with contextlib.suppress(OSError):
             handler.say(202)
-        threading.Thread(target=self.run, args=(job, body), daemon=True).start()
+        threading.Thread(target=self.run, args=(job, body, run_s), daemon=True).start()
 
-    def run(self, job: str, body: bytes) -> None:
+    def run(self, job: str, body: bytes, run_s: float) -> None:
         """Run a job and tell how it goes."""
         began = time.monotonic()
         self.tell(job, "started")
-        while (left := began + self.run_s - time.monotonic()) > 0 and not self.down:
+        while (left := began + run_s - time.monotonic()) > 0 and not self.down:
             time.sleep(min(left, 1.0))
             if left > 1.0:
-                self.tell(job, "running", share=round((time.monotonic() - began) / self.run_s, 3))
+                self.tell(job, "running", share=round((time.monotonic() - began) / run_s, 3))
         with self.lock:
             self.running -= 1
         if not self.down:
