Review case 6: sends to a drained worker by the stored list while discovery is down

Cause: a process that starts uses its stored list 0.7 s later although discovery has not answered; a worker of that list that drains since counts as told from the first moment.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -107,6 +107,7 @@
     def __init__(self, record: Record) -> None:
         self.record = record
         self.generation, self.changed = 1, threading.Condition()
+        self.silent = False  # discovery is down: calls are accepted and not answered
         self.entries: dict[str, dict[str, Any]] = {}
         self.changes: list[tuple[int, dict[str, Any]]] = []
         agent = self
@@ -121,6 +122,9 @@
                     if after < 0:
                         rows = [e for e in agent.entries.values() if e["lifecycle"] != "Gone"]
                     document = {"generation": agent.generation, "reset": after < 0, "instances": rows}
+                if agent.silent:
+                    time.sleep(30.0)
+                    return
                 with contextlib.suppress(OSError):
                     self.say(200, json.dumps(document).encode())
 
