--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,9 @@
-"""After a planned restart: does a Gearman client get the result of its own job, or that of another one?"""
+"""A dispatcher restarts while discovery is down: does it send to a worker that it counts as told drains?"""
 
 from __future__ import annotations
 
-import signal
+import contextlib
+import http.client
 import sys
 import threading
 import time
@@ -14,88 +15,81 @@
     BROKEN,
     SETTINGS,
     TROUBLE,
+    Agent,
     CouldNotRun,
     Dispatcher,
-    Gearman,
     Worker,
+    call,
     free_port,
     playing,
     wait_for,
 )
 
-# As at recife-main, but both classes run for some seconds, and are wanted within a multiple of that.
-AIMS = {"time-lookup": 3000.0, "result-post": 5000.0}
-CLUBS = [f"club-{n}" for n in range(1, 13)]
-POST_S, LOOKUP_S = 9.0, 6.0  # how long a result-post and a time-lookup run
+RUN_S, GAP_S = 1.5, 0.1
+GRACE_S = 0.5 + 0.05 + 0.15  # the settings' grace, the slack on sockets, and a process that is held up
+DOWN_S = 6.0  # how long discovery is down; the page's days know 8 s
 
 with playing(Path(__file__).resolve().parent) as site:
-    workers = [Worker(site.record, f"w{n}", POST_S, slots=16) for n in (1, 2)]
-    edge, gearman = f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}"
+    agent = Agent(site.record)
+    workers = [Worker(site.record, f"w{n}", RUN_S, slots=16) for n in (1, 2, 3)]
+    edge = f"127.0.0.1:{free_port()}"
     for worker in workers:
         worker.callback_address = edge
-        worker.run_s_of = {"time-lookup": LOOKUP_S}
-    classes = [{**cls, "aim": AIMS[cls["name"]]} for cls in SETTINGS["classes"]]
-    settings = {**SETTINGS, "classes": classes}
-    config = site.write_json("config.json", {
-        "name": "d1", "listen": edge, "management": "127.0.0.1:0", "seed": "1f",
-        "limits": {"sockets": 1024, "memory_mb": 128}, "settings": settings,
-        "workers": [{"name": w.name, "address": w.address, "slots": w.slots} for w in workers],
-    })  # fmt: skip
-    fronts = site.write_json("fronts.json", {"gearman": {"listen": gearman}})
+        agent.tell(worker)
+    document = {
+        "name": "d1", "listen": edge, "discovery": agent.address, "management": "127.0.0.1:0", "seed": "1f",
+        "limits": {"sockets": 1024, "memory_mb": 128}, "settings": SETTINGS,
+    }  # fmt: skip
+    fronts = site.write_json("fronts.json", {})
 
     def start(name: str) -> Dispatcher:
-        """Start the dispatcher and wait until it is ready."""
-        dispatcher = Dispatcher(site, name, config, {"EIDERPIN_FRONTS": str(fronts)})
-        wait_for(dispatcher.ready, f"{name} to be ready", 10.0)
-        return dispatcher
+        """Start the dispatcher with the list that it had last."""
+        known = {"generation": generation, "reset": True, "instances": entries}
+        config = site.write_json("config.json", {**document, "known": known, "seed": name.encode().hex()})
+        return Dispatcher(site, name, config, {"EIDERPIN_FRONTS": str(fronts)})
 
-    results: dict[tuple[str, str], bytes] = {}  # by function and club; empty: no result
+    answers: dict[str, int] = {}
 
-    def submit(function: str, club: str) -> threading.Thread:
-        """Submit one job under the club's name on a connection of its own, and wait for its end."""
+    def post(job: str) -> None:
+        """Send one result-post, and note its answer."""
+        status = 0
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            headers = {"Req-Id": job, "Req-Deadline-Ms": "25000"}
+            status, _ = call(edge, "POST", "/result-post", job.encode(), headers, within=27.0)
+        answers[job] = status
+        site.record.note("client", f"gets {status or 'no answer'} for {job}")
 
-        def wait_for_end() -> None:
-            client = Gearman(gearman)
-            client.put(Gearman.SUBMIT_JOB, function.encode(), club.encode(), f"{function} of {club}".encode())
-            site.record.note("client", f"submits {function} with the unique id {club}")
-            kind = 0
-            try:
-                while kind not in (Gearman.WORK_COMPLETE, Gearman.WORK_FAIL):
-                    kind, args = client.get(30.0)
-            except (OSError, EOFError):
-                return  # the connection has ended
-            results[function, club] = args[1] if kind == Gearman.WORK_COMPLETE else b""
-            site.record.note("client", f"gets for {function} of {club}: {results[function, club]!r}")
-
-        thread = threading.Thread(target=wait_for_end, daemon=True)
-        thread.start()
-        return thread
-
-    dispatcher = start("dispatcher")
-    waiting = [submit("result-post", club) for club in CLUBS]
-    wait_for(lambda: sum(len(w.begun) for w in workers) == len(CLUBS), "the result-posts to run", 8.0)
+    generation, entries = agent.generation, [dict(entry) for entry in agent.entries.values()]
+    dispatcher = start("before")
+    wait_for(dispatcher.ready, "the dispatcher to be ready", 10.0)
+    dispatcher.process.kill()
+    dispatcher.process.wait()
+    site.record.note("platform", "the dispatcher is killed")
+    drained = workers[0]
+    agent.tell(drained, "Terminating")
+    time.sleep(7.0)  # long past the 6 s after which a change counts as told, with discovery up all the time
     if TROUBLE:
-        dispatcher.signal(signal.SIGTERM)
-        # SIGKILL would come no sooner than 3.7 s after SIGTERM; it has ended by itself before.
-        wait_for(lambda: dispatcher.process.poll() is not None, "the dispatcher to end", 3.7)
-        site.record.note("platform", f"the dispatcher has ended with {dispatcher.process.returncode}")
-        dispatcher = start("restarted")
-    else:
-        time.sleep(3.9)
-    lookups = [submit("time-lookup", club) for club in CLUBS]
-    for thread in lookups + waiting:
+        agent.silent = True
+        site.record.note("discovery", "is down: the agent is silent")
+    dispatcher = start("again")
+    began = time.monotonic()  # it listens; the process is some 0.2 s older
+    threads = []
+    for number in range(int(DOWN_S / GAP_S)):
+        threads.append(threading.Thread(target=post, args=(f"post-{number:02d}",), daemon=True))
+        threads[-1].start()
+        time.sleep(GAP_S)
+    agent.silent = False
+    late = [(at - began, job) for at, job, _ in drained.begun if at - began > GRACE_S]
+    # The worker has finished what it had before it drained; its process ends, with whatever it got since.
+    drained.end(lambda: [job for _, job, _ in drained.begun if job not in answers])
+    for thread in threads:
         thread.join(30.0)
 
-    foreign = served = 0
-    for club in CLUBS:
-        result = results.get(("time-lookup", club))
-        if result is None:
-            raise CouldNotRun(f"the lookup of {club} had no end")
-        served += bool(result)
-        if result and f"time-lookup of {club}".encode() not in result:
-            foreign += 1
-            site.record.note("result", f"the time-lookup of {club} was served with {result!r}")
-    text = f"{served} of {len(CLUBS)} time-lookups were served, {foreign} with another job's result"
-    site.record.note("result", text)
-    if foreign:
+    lost = [job for _, job in late if answers.get(job) != 200]
+    for at, job in late:
+        site.record.note("result", f"{job} began at w1 {at:.2f} s after it listened: {answers.get(job)}")
+    site.record.note("result", f"{len(late)} posts went to w1 past its drain's grace, {len(lost)} were lost")
+    if late:
         sys.exit(BROKEN)
+    if not any(w.begun for w in workers[1:]):
+        raise CouldNotRun("nothing was sent at all")
