Review case 1: the old process gets SIGTERM as the platform sends it

The platform sends SIGTERM once the new process says yes; the case did not, and shows the same with it.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import socket
 import sys
 import time
@@ -75,6 +76,8 @@
         new = start("new version")
         wait_for(lambda: any("a newer process takes the clients" in line for line in old.lines),
                  "the old version to hand over", 5.0)  # fmt: skip
+        # As the platform does; SIGKILL would come 3.7 s later, and the case has its answer before that.
+        old.signal(signal.SIGTERM)
     time.sleep(0.5)
     first.close()
     site.record.note("client", "loses its connection")
