Log a request whose id the peer process of an upgrade already has

A Gearman job that is submitted again during an upgrade runs twice. Three causes were possible: the new process does not learn the ids of the old one's jobs, it learns them after the resubmission, or it has them and does not look. The log and the counter `in.known_to_peer` tell them apart.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -161,6 +161,9 @@
                 elif waiter is not None:
                     waiter.answer(request, retained[1])
                 return request
+        if request.unique in self.peer_request_ids:
+            self.counters.add("in.known_to_peer")
+            request_log.request_event("the peer process has a request of this id", request, logging.INFO)
         if waiter is not None:
             request.waiters.append(waiter)
         try:
