Move the answers retained for resubmissions into a module of their own

The core's dispatcher held them in two fields of its own, as tuples. An upgrade will have to read and add to them. No behaviour has changed; test_core.py asks the new object for the same limits.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -8,7 +8,6 @@
 
 import logging
 import math
-from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import replace
 from typing import Any, Protocol
@@ -32,6 +31,7 @@
     Verdict,
     WorkerLink,
 )
+from eiderpin.core.retained_answers import RETENTION_MS, RetainedAnswer, RetainedAnswers
 from eiderpin.core.shutdown import MAX_STALL_MS
 from eiderpin.core.slot_table import SlotTable, TableFull
 
@@ -40,10 +40,6 @@
 # The last part of a worker's drain grace goes unused: the process may stall between the check and the write.
 DRAIN_GRACE_MARGIN_MS = MAX_STALL_MS + 50.0
 DEFAULT_RETRY_WAIT_MS = 500.0  # advised to a rejected client where the decision module names no wait
-# Answers are retained for resubmissions of the same job, up to each of these limits.
-RETENTION_MS = 60_000.0
-MAX_RETAINED_ANSWERS = 8192
-MAX_RETAINED_BYTES = 16 * 1024 * 1024
 
 
 class RequestIdInUseError(Exception):
@@ -88,8 +84,7 @@
         self._by_wire_id: dict[str, Request] = {}
         # Where no front has clients that resubmit, only the ids of jobs are retained and not their results.
         self.keeps_results = True
-        self._retained: OrderedDict[tuple[str, str], tuple[float, Answer, bool]] = OrderedDict()
-        self._retained_bytes = 0
+        self.retained = RetainedAnswers()
         self._last_wire_number = 0
         self.peer_request_ids: set[str] = set()  # ids of the requests that the peer process holds
         self.job_manager: DurableJobManager | None = None  # None: no class of jobs is durable
@@ -124,13 +119,11 @@
             self._bound_deadline(request)
         if request.unique:
             open_request = self._by_unique.get(job_key)
-            retained = self._retained.get(job_key)
-            if retained is not None and retained[0] <= now:
-                retained = None
+            retained = self.retained.get(job_key, now)
             is_taken = (
                 open_request.single_use_id
                 if open_request is not None
-                else retained is not None and retained[2]
+                else retained is not None and retained.single_use_id
             )
             is_used_elsewhere = (
                 open_request is None
@@ -141,7 +134,7 @@
                 raise RequestIdInUseError
             if job_manager is not None and open_request is None:
                 answer = job_manager.stored_answer(request)
-                retained = (now, answer, False) if answer is not None else None
+                retained = RetainedAnswer(answer, now, False) if answer is not None else None
             if open_request is not None:
                 is_same_job = open_request.body == request.body and open_request.target == request.target
                 if job_manager is not None and not is_same_job:
@@ -156,10 +149,10 @@
                 request.ended = True
                 if waiter is not None and job_manager is not None:
                     job_manager.deliver_stored_answer(
-                        request, retained[1], lambda answer: waiter.answer(request, answer)
+                        request, retained.answer, lambda answer: waiter.answer(request, answer)
                     )
                 elif waiter is not None:
-                    waiter.answer(request, retained[1])
+                    waiter.answer(request, retained.answer)
                 return request
         if request.unique in self.peer_request_ids:
             self.counters.add("in.known_to_peer")
@@ -567,10 +560,9 @@
         if not request.ended:
             self._events.append(api.RequestGone(request.id))
             self._finish(request, Answer(Verdict.SERVED, result), EndReason.LATE_RESULT)
-        elif (
-            request.unique
-            and self._retained.get((request.cls, request.unique), (0.0, None, False))[1] == FAILED
-        ):
+            return
+        retained = self.retained.find((request.cls, request.unique))
+        if request.unique and retained is not None and retained.answer == FAILED:
             # The request has been answered as failed, but a resubmission can still get the result.
             self._retain(request, Answer(Verdict.SERVED, result))
 
@@ -762,19 +754,6 @@
         if answer.verdict is Verdict.SERVED or (must_not_rerun and request.may_have_run()):
             if answer.verdict is not Verdict.SERVED or not self.keeps_results:
                 answer = FAILED
-            job_key = (request.cls, request.unique)
-            replaced = self._retained.pop(job_key, None)
-            self._retained_bytes += len(answer.result) - (len(replaced[1].result) if replaced else 0)
             now = self.clock.now()
-            self._retained[job_key] = (now + RETENTION_MS, answer, request.single_use_id)
-            while self._retained:
-                oldest_key = next(iter(self._retained))
-                until, oldest, _ = self._retained[oldest_key]
-                if (
-                    until > now
-                    and len(self._retained) <= MAX_RETAINED_ANSWERS
-                    and self._retained_bytes <= MAX_RETAINED_BYTES
-                ):
-                    break
-                del self._retained[oldest_key]
-                self._retained_bytes -= len(oldest.result)
+            retained = RetainedAnswer(answer, now + RETENTION_MS, request.single_use_id)
+            self.retained.add((request.cls, request.unique), retained, now)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -11,7 +11,7 @@
 from eiderpin import explain
 from eiderpin import interface as api
 from eiderpin.core import dispatcher as core
-from eiderpin.core import invariants
+from eiderpin.core import invariants, retained_answers
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Clock, Deadlines
 from eiderpin.core.requests import Answer, Attempt, Endpoint, Request, Verdict
@@ -144,13 +144,13 @@
         self.core.ended(self.link.sent[0], api.Outcome.DONE, b"ranked")
         self.assertEqual(self.submit("post", "a")[1].answers, [Answer(Verdict.SERVED, b"ranked")])
         self.assertEqual(self.submit("look", "a")[1].answers, [])  # another class, another job
-        self.advance_clock(core.RETENTION_MS + 1)
+        self.advance_clock(retained_answers.RETENTION_MS + 1)
         self.assertEqual(self.submit("post", "a")[1].answers, [])
-        for number in range(core.MAX_RETAINED_ANSWERS + 10):
+        for number in range(retained_answers.MAX_RETAINED_ANSWERS + 10):
             request = Request("look", f"n{number}", b"/", b"", 0.0)
             self.core._retain(request, Answer(Verdict.SERVED, b"xy"))
-        self.assertEqual(len(self.core._retained), core.MAX_RETAINED_ANSWERS)
-        self.assertEqual(self.core._retained_bytes, 2 * core.MAX_RETAINED_ANSWERS)
+        self.assertEqual(len(self.core.retained), retained_answers.MAX_RETAINED_ANSWERS)
+        self.assertEqual(self.core.retained.size, 2 * retained_answers.MAX_RETAINED_ANSWERS)
 
     def test_rejected_jobs_can_be_resubmitted_but_jobs_that_may_have_run_are_not_run_again(self) -> None:
         """If a rejection were retained, a resubmission would never run. If the failure of a job that may have
