--- a/eiderpin/net/handover.py
+++ b/eiderpin/net/handover.py
@@ -1,21 +1,6 @@
 """Handover from an old process, the predecessor, to a new one, its successor (upgrade without downtime).
 
-The two processes are linked by a Unix socket that carries one JSON object per line. The new process connects
-to the socket of its predecessor. Messages; each is sent in both directions unless noted:
-
-    {"hello": 1, "ids": [...]}      first message: protocol version, and the ids of jobs under way
-    {"serving": true, "published": [...]}   new process only: it accepts clients from now on, and the old
-                                    process stops accepting. `published` identifies the file of its socket
-    {"learned": {...}}              old process only, once: what its decisions have learned
-    {"state": {...}}                the sender's slots in use at workers, its descriptors and its readiness
-    {"adopt": {...}, "ask": 7}      a job, with its client's socket attached; answered by
-    {"adopted": 7}, {"refused": 7}  with `refused` the job stays with the sender
-    {"ledger": true}                the sender has released the ledger of durable jobs to the receiver
-    {"waits": {...}, "ask": 7}      a client of a job in that ledger, with its socket; answered like `adopt`
-    {"news": {...}, "ask": 7}       a worker's callback for an id that the sender does not know
-    {"told": 7}                     the callback has been handled, or the id is not known here either
-
-A link is closed when it breaks, times out or carries an invalid message. Each process then goes on alone.
+The two processes are linked by a Unix socket; see `handover_link` and `handover_messages`.
 """
 
 from __future__ import annotations
@@ -24,209 +9,25 @@
 import functools
 import os
 import socket
-from collections import deque
 from collections.abc import Callable
 from dataclasses import asdict
-from typing import Any, Protocol
-
-import orjson
+from typing import Protocol
 
 from eiderpin import interface as api
-from eiderpin.core import learned
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.moves import TransferredRequest, WaitingClient, adopt, rebuild_request, transfer_request
 from eiderpin.core.requests import Request
+from eiderpin.net import handover_messages as messages
 from eiderpin.net.edge import ClientConnection, HttpFront
+from eiderpin.net.handover_link import Link, Reply
+from eiderpin.net.handover_messages import Document, FileIdentity, State
 from eiderpin.net.loop import Connection, Listener, Loop
 
-HELLO_TIMEOUT_MS = 1000.0  # a peer that sends nothing for so long after connecting is not a dispatcher
-STATE_CHECK_MS = 50.0  # between checks whether the state has changed or jobs can be transferred
-SILENCE_TIMEOUT_MS = 3000.0  # a peer process that sends nothing for so long is taken to be stuck
-STATE_REPEAT_MS = 500.0  # an unchanged state is sent again after this time
-# The peer process must handle a callback in this time; otherwise the worker is asked to send it again.
-CALLBACK_TIMEOUT_MS = 500.0
-MAX_PENDING_DESCRIPTORS = 16  # received descriptors whose messages have not arrived yet
-MAX_LINE_BYTES = 4 << 20
-MAX_IDS = 20_000  # sent in a hello
 MAX_UNIDENTIFIED_LINKS = 4  # links that have not sent a hello
 # A starting process looks for its predecessor so often, at this interval.
 LOOKUPS, LOOKUP_RETRY_MS = 4, 50.0
 
-Reply = Callable[[int], None]  # answers a callback with an HTTP status
-FileIdentity = tuple[int, int, int]  # device, inode and modification time (ns) of a file
-
-
-class Link:
-    """A connection to the peer process, our predecessor or our successor."""
-
-    def __init__(self, handover: Handover, conn: Connection, is_predecessor: bool) -> None:
-        self.handover, self.conn, self.loop = handover, conn, handover.loop
-        self.is_predecessor = is_predecessor  # the peer is our predecessor
-        self.hello_received = False
-        self.serving = False  # the peer is our successor and accepts clients
-        self.published: FileIdentity | None = None  # the socket file of a successor
-        self.readiness = ""  # of the peer, as reported to load balancers
-        self.sockets = 0  # descriptors that the peer uses
-        self.holds: dict[str, tuple[float, float]] = {}  # of the peer, by worker: see `api.Beside`
-        self.buffer = bytearray()
-        self.last_state: dict[str, Any] = {}
-        self.state_sent_at = 0.0
-        self.pending_callbacks: dict[int, tuple[Reply, Deadline]] = {}  # forwarded, by message number
-        # Jobs and clients that were sent and are neither adopted nor refused yet, by message number.
-        self.pending_transfers: dict[int, tuple[TransferredRequest | WaitingClient, socket.socket]] = {}
-        self.received_descriptors: deque[int] = deque()  # whose messages have not been handled yet
-        self.silence_timeout = self.loop.deadlines.set(self.loop.clock.now() + HELLO_TIMEOUT_MS, self.close)
-        self.state_check: Deadline | None = None
-        conn.on_data, conn.on_end, conn.receive = self.on_data, self.close, self.receive
-        self.send(
-            {"hello": 1, "ids": [r.unique for r in handover.core.requests.all() if not r.ended][:MAX_IDS]}
-        )
-
-    def send(self, message: dict[str, Any]) -> None:
-        """Send a message."""
-        self.conn.write(orjson.dumps(message) + b"\n")
-
-    def send_socket(self, message: dict[str, Any], sock: socket.socket) -> bool:
-        """Send a message with a socket attached; return whether it was sent."""
-        if self.conn.unsent or self.conn.closed:
-            return False
-        line = orjson.dumps(message) + b"\n"
-        try:
-            sent = socket.send_fds(self.conn.sock, [line], [sock.fileno()])
-        except OSError:
-            return False
-        self.conn.write(line[sent:])
-        return True
-
-    def receive(self, size: int) -> bytes:
-        """Receive at most `size` bytes, and keep the descriptors that come with them."""
-        data, descriptors, _, _ = socket.recv_fds(self.conn.sock, size, MAX_PENDING_DESCRIPTORS)
-        self.received_descriptors.extend(descriptors)
-        return data
-
-    def on_data(self, data: bytes) -> None:
-        """Handle the messages that received data completes; an invalid one closes the link."""
-        deadlines = self.loop.deadlines
-        deadlines.drop(self.silence_timeout)
-        self.silence_timeout = deadlines.set(self.loop.clock.now() + SILENCE_TIMEOUT_MS, self.close)
-        self.buffer += data
-        *lines, rest = self.buffer.split(b"\n")
-        self.buffer = rest
-        try:
-            if len(rest) > MAX_LINE_BYTES:
-                raise ValueError("line is too long")
-            for line in lines:
-                if not self.conn.closed:
-                    self.handle_message(orjson.loads(line))
-            if len(self.received_descriptors) > MAX_PENDING_DESCRIPTORS:
-                raise ValueError("too many descriptors without a message")
-        except (ValueError, TypeError, KeyError, AttributeError, IndexError, OSError):
-            self.handover.core.counters.add("in.link_bad")
-            self.close()
-
-    def handle_message(self, message: dict[str, Any]) -> None:
-        """Handle one message of the protocol above.
-
-        An invalid one raises `ValueError`, or what its conversion raises.
-        """
-        if not self.hello_received:
-            if message["hello"] != 1:
-                raise ValueError("unknown protocol version")
-            ids = {str(i) for i in message["ids"]}
-            self.hello_received = True
-            self.handover.on_hello(self, ids)
-            self.send_state()
-        elif "state" in message:
-            state = message["state"]
-            holds = {str(w): (float(a), float(b)) for w, (a, b) in state["holds"].items()}
-            if not all(a >= 0 and b >= 0 for a, b in holds.values()):
-                raise ValueError("a negative number of held slots")
-            self.sockets, self.readiness = int(state["sockets"]), str(state["readiness"])
-            self.holds = holds
-            self.handover.core.add_event(api.Beside(holds))
-            self.handover.on_change()
-        elif "learned" in message:
-            self.handover.core.apply_learned(learned.parse(message["learned"]))
-        elif "serving" in message:
-            self.serving = True
-            published = message.get("published")
-            self.published = _parse_identity(published) if published is not None else None
-            self.send({"learned": learned.collect(self.handover.core.module)})
-            self.handover.on_change()
-        elif "news" in message:
-            number = int(message["ask"])
-            self.handover.on_forwarded_callback(
-                self, message["news"], lambda status: self.send({"told": number})
-            )
-        elif "adopt" in message:
-            sock = socket.socket(fileno=self.received_descriptors.popleft())
-            adopted = self.handover.adopt_job(message["adopt"], sock)
-            self.send({"adopted" if adopted else "refused": int(message["ask"])})
-        elif "ledger" in message:
-            if self.handover.ledger is not None:
-                self.handover.ledger.on_ledger_released()
-        elif "waits" in message:
-            sock = socket.socket(fileno=self.received_descriptors.popleft())
-            adopted = self.handover.adopt_waiting_client(message["waits"], sock)
-            self.send({"adopted" if adopted else "refused": int(message["ask"])})
-        elif "adopted" in message:
-            self.pending_transfers.pop(int(message["adopted"]))[1].close()
-        elif "refused" in message:
-            self.take_back(int(message["refused"]))
-        elif "told" in message:
-            reply, timeout = self.pending_callbacks.pop(int(message["told"]), (None, None))
-            self.loop.deadlines.drop(timeout)
-            if reply is not None:
-                reply(204)
-        else:
-            raise ValueError("unknown message")
-
-    def take_back(self, number: int) -> None:
-        """Continue here with a job or client that the peer refused or that it had not adopted."""
-        moved, sock = self.pending_transfers.pop(number)
-        if isinstance(moved, WaitingClient):
-            self.handover.adopt_waiting_client(asdict(moved), sock)
-            return
-        self.handover.kept_ids.add(moved.wire_id)
-        self.handover.adopt_job(asdict(moved), sock)
-
-    def send_callback(self, number: int, callback: dict[str, Any], reply: Reply) -> None:
-        """Forward a callback, and reply to its worker when the peer has handled it: 204, else 503."""
-
-        def on_timeout() -> None:
-            self.pending_callbacks.pop(number, None)
-            reply(503)  # the worker will send it again
-
-        timeout = self.loop.deadlines.set(self.loop.clock.now() + CALLBACK_TIMEOUT_MS, on_timeout)
-        self.pending_callbacks[number] = (reply, timeout)
-        self.send({"news": callback, "ask": number})
-
-    def send_state(self) -> None:
-        """Send our state if it has changed or was sent long ago, and transfer what can go to a successor."""
-        now, state = self.loop.clock.now(), self.handover.get_state()
-        if state != self.last_state or now > self.state_sent_at + STATE_REPEAT_MS:
-            self.last_state, self.state_sent_at = state, now
-            self.send({"state": state})
-        if self is self.handover.successor:
-            self.handover.transfer_jobs()
-        self.state_check = self.loop.deadlines.set(now + STATE_CHECK_MS, self.send_state)
-
-    def close(self) -> None:
-        """Close the link: take unadopted jobs back and reply 503 to callbacks in flight."""
-        self.loop.deadlines.drop(self.silence_timeout)
-        self.loop.deadlines.drop(self.state_check)
-        self.conn.close()
-        for number in list(self.pending_transfers):
-            self.take_back(number)
-        while self.received_descriptors:
-            os.close(self.received_descriptors.popleft())
-        pending, self.pending_callbacks = self.pending_callbacks, {}
-        for reply, timeout in pending.values():
-            self.loop.deadlines.drop(timeout)
-            reply(503)
-        self.handover.on_link_closed(self)
-
 
 class LedgerOwner(Protocol):
     """The side of the ledger of durable jobs that the handover uses."""
@@ -243,7 +44,7 @@
         """Let a client wait here for a job of the ledger."""
         ...
 
-    def defer_callback(self, callback: dict[str, Any], reply: Reply) -> bool:
+    def defer_callback(self, callback: Document, reply: Reply) -> bool:
         """Defer a callback until the ledger's jobs are recovered; return whether it was deferred."""
         ...
 
@@ -266,7 +67,7 @@
 
     def __init__(
         self, loop: Loop, core: Dispatcher, http_front: HttpFront, path: str,
-        apply_callback: Callable[[dict[str, Any]], bool], get_state: Callable[[], dict[str, Any]],
+        apply_callback: Callable[[Document], bool], get_state: Callable[[], State],
         on_change: Callable[[], None], may_transfer: Callable[[], bool],
     ) -> None:  # fmt: skip
         self.loop, self.core, self.http_front, self.path = loop, core, http_front, path
@@ -317,10 +118,8 @@
         """Publish our socket and tell our predecessor to stop accepting: we accept clients from now on."""
         self.publish()
         if self.predecessor is not None:
-            self.predecessor.send(
-                {"state": self.get_state()}
-            )  # it reports our readiness as its own from now on
-            self.predecessor.send({"serving": True, "published": self.published})
+            self.predecessor.send(self.get_state())  # it reports our readiness as its own from now on
+            self.predecessor.send(messages.Serving(self.published))
 
     def publish(self) -> None:
         """Put our socket where the next process looks for it.
@@ -406,7 +205,7 @@
                 continue
             client.set_request(None)
             sock, self.last_number = client.conn.detach(), self.last_number + 1
-            if not self.successor.send_socket({"adopt": asdict(moved), "ask": self.last_number}, sock):
+            if not self.successor.send_socket(messages.AdoptJob(self.last_number, asdict(moved)), sock):
                 self.adopt_job(asdict(moved), sock)  # the link is busy: try again next time
                 return
             self.successor.pending_transfers[self.last_number] = (moved, sock)
@@ -419,7 +218,7 @@
             waiting = self.ledger.release()
             if waiting is None:
                 return
-            self.successor.send({"ledger": True})
+            self.successor.send(messages.LedgerReleased())
             self.unsent_clients += waiting
         while self.unsent_clients:
             waits, client = self.unsent_clients[0]
@@ -427,31 +226,30 @@
                 self.unsent_clients.pop(0)
                 continue
             self.last_number += 1
-            if not self.successor.send_socket(
-                {"waits": asdict(waits), "ask": self.last_number}, client.conn.sock
-            ):
+            message = messages.AdoptClient(self.last_number, asdict(waits))
+            if not self.successor.send_socket(message, client.conn.sock):
                 return  # the link is busy: try again next time
             client.set_request(None)
             self.successor.pending_transfers[self.last_number] = (waits, client.conn.detach())
             self.unsent_clients.pop(0)
 
-    def adopt_waiting_client(self, fields: dict[str, Any], sock: socket.socket) -> bool:
+    def adopt_waiting_client(self, document: Document, sock: socket.socket) -> bool:
         """Adopt a client of a durable job from the peer process, or take our own back."""
         client = self.http_front.adopt(sock)
         try:
             if self.ledger is None:
                 raise ValueError("no ledger of durable jobs here")
-            self.ledger.attach_client(rebuild_request(self.core, WaitingClient(**fields)), client)
+            self.ledger.attach_client(rebuild_request(self.core, WaitingClient(**document)), client)
         except (ValueError, TypeError, AttributeError):
             client.conn.close()
             return False
         return True
 
-    def adopt_job(self, fields: dict[str, Any], sock: socket.socket) -> bool:
+    def adopt_job(self, document: Document, sock: socket.socket) -> bool:
         """Adopt a job from the peer process, or take our own back; return whether that was possible."""
         client = self.http_front.adopt(sock)
         try:
-            request = adopt(self.core, TransferredRequest(**fields), client)
+            request = adopt(self.core, TransferredRequest(**document), client)
         except (ValueError, TypeError, AttributeError):
             client.conn.close()  # only our descriptor: the peer process still has its own
             return False
@@ -459,14 +257,14 @@
         self.http_front.account_memory(client)
         return True
 
-    def forward_callback(self, callback: dict[str, Any], reply: Reply) -> None:
+    def forward_callback(self, callback: Document, reply: Reply) -> None:
         """Forward a callback for an id that we do not know: a peer process may. It is always answered."""
         links = [
             link for link in (self.predecessor, self.successor) if link is not None and link.hello_received
         ]
         self._forward(links, callback, reply)
 
-    def on_forwarded_callback(self, link: Link, callback: dict[str, Any], reply: Reply) -> None:
+    def on_forwarded_callback(self, link: Link, callback: Document, reply: Reply) -> None:
         """Handle a callback that a peer process forwarded, or forward it to the peer on our other side."""
         beyond = self.successor if link.is_predecessor else self.predecessor
         if self.ledger is not None and self.ledger.defer_callback(callback, reply):
@@ -485,7 +283,7 @@
         else:
             self._forward([beyond], callback, reply)
 
-    def _forward(self, links: list[Link], callback: dict[str, Any], reply: Reply) -> None:
+    def _forward(self, links: list[Link], callback: Document, reply: Reply) -> None:
         """Forward a callback to all these links, and reply with the worst of their statuses."""
         if not links:
             reply(204)
@@ -524,8 +322,3 @@
     except OSError:
         return None
     return file_status.st_dev, file_status.st_ino, file_status.st_mtime_ns
-
-
-def _parse_identity(fields: Any) -> FileIdentity:
-    device, inode, modified_ns = (int(x) for x in fields)
-    return device, inode, modified_ns
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -48,6 +48,7 @@
     from eiderpin.net.agent_check import AgentCheck
     from eiderpin.net.gearman_front import GearmanFront
     from eiderpin.net.handover import Handover
+    from eiderpin.net.handover_messages import State
     from eiderpin.net.management import Management
     from eiderpin.net.static_list import StaticList
     from eiderpin.parts.durable import DurableOptions
@@ -362,7 +363,7 @@
             held_bytes if predecessor is None and successor is None else held_bytes / 2
         )
 
-    def peer_status(self) -> dict[str, Any]:
+    def peer_status(self) -> State:
         """The commitments, descriptors in use and readiness that the peer process is sent."""
         if self.handed_over:
             self.apply_resource_limits()
@@ -374,10 +375,9 @@
         )
         if self.gearman is not None:
             used += len(self.gearman.connections)
-        return {
-            "holds": self.core.module.describe_commitments().holds,
-            "sockets": used, "readiness": self.readiness(),
-        }  # fmt: skip
+        from eiderpin.net.handover_messages import State
+
+        return State(self.core.module.describe_commitments().holds, used, self.readiness())
 
     @property
     def is_fenced(self) -> bool:
