End a job whose client has left once, not again as its attempt is cancelled

The decisions end the job at its deadline and then cancel its attempt; `Dispatcher.ended` took a job that nobody waits for and whose attempts are over for one that has still to end. Nobody is waiting, so no client saw it, but without -O the assertion ends the turn.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -453,7 +453,7 @@
             self.job_manager.released(attempt, outcome)
         if outcome is api.Outcome.DONE and not request.ended:
             self._finish(request, Answer(Verdict.SERVED, result), EndReason.RESULT)
-        elif request.abandoned and not request.may_start_attempt and all(s.ended for s in request.attempts):
+        elif request.is_deserted and all(attempt.ended for attempt in request.attempts):
             # Its client has disconnected, so no further attempt will start.
             self._finish(request, None, EndReason.CLIENT_LEFT)
         self._events.append(
--- a/eiderpin/core/requests.py
+++ b/eiderpin/core/requests.py
@@ -98,6 +98,11 @@
         """Whether an attempt may still begin: somebody waits, or the job continues without that."""
         return not self.ended and (bool(self.waiters) or self.background or bool(self.job))
 
+    @property
+    def is_deserted(self) -> bool:
+        """Whether it goes on only until its running attempts have ended, as all clients have left."""
+        return self.abandoned and not self.ended and not self.may_start_attempt
+
     def may_have_run(self) -> bool:
         """Return whether some attempt may have run."""
         return any(attempt.may_have_run for attempt in self.attempts)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -124,6 +124,16 @@
             self.core.take_over(request, Client())
             self.assertEqual((request.deadline, request.cut_short), (deadline, not job))
 
+    def test_a_job_whose_client_has_left_ends_once_at_its_deadline(self) -> None:
+        """The decisions end it, and then cancel its attempt; the end of that one ended it a second time."""
+        request, client = self.submit("post", "a")
+        self.advance_clock(100)
+        self.core.written(self.link.sent[0])
+        self.core.detach(request, client)
+        self.advance_clock(5000)
+        self.assertTrue(request.ended)
+        self.assertEqual(self.counters.counts["end.failed"], 1)
+
     def test_drain_grace_is_checked_again_just_before_the_write(self) -> None:
         """A worker may begin to drain between the decision and the write; an attempt that is written after
         the grace would be refused."""
