Run a job once that a Gearman client submits again during an upgrade

Cause: a process looked for a resubmission among its own jobs only. What the other process had was a set of ids from the moment of the hello, compared for requests of HTTP clients alone. Beside it, jobs taken after the hello, jobs that had ended and whose answer was kept, and all jobs after the old process's end were not known at all.

Change: a job that its client can submit again begins in one process once each linked process has granted its claim. Who has the job refuses and tells the answer later; who grants knows from then on who has it; of claims that cross, the newer process's is granted. Why this works: no order of events lets two linked processes begin the same job, and after the end of one the other knows every job that it may have begun.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -10,7 +10,7 @@
 import math
 from collections.abc import Iterable
 from dataclasses import replace
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from eiderpin import decide
 from eiderpin import interface as api
@@ -31,10 +31,13 @@
     Verdict,
     WorkerLink,
 )
-from eiderpin.core.retained_answers import RETENTION_MS, RetainedAnswer, RetainedAnswers
+from eiderpin.core.retained_answers import RETENTION_MS, JobKey, RetainedAnswer, RetainedAnswers
 from eiderpin.core.shutdown import MAX_STALL_MS
 from eiderpin.core.slot_table import SlotTable, TableFull
 
+if TYPE_CHECKING:
+    from eiderpin.core.peer_jobs import PeerJobs
+
 # Before a client's deadline its answer has to be on its way, so that it arrives in time.
 ANSWER_MARGIN_MS = 15.0
 # The last part of a worker's drain grace goes unused: the process may stall between the check and the write.
@@ -86,7 +89,7 @@
         self.keeps_results = True
         self.retained = RetainedAnswers()
         self._last_wire_number = 0
-        self.peer_request_ids: set[str] = set()  # ids of the requests that the peer process holds
+        self.peer_jobs: PeerJobs | None = None  # None: no other process can run beside this one
         self.job_manager: DurableJobManager | None = None  # None: no class of jobs is durable
         self.overrides: WorkerOverrides | None = None  # None: operators cannot override workers here
         self.source: ListSource | None = None  # None: lists arrive without being requested
@@ -125,12 +128,7 @@
                 if open_request is not None
                 else retained is not None and retained.single_use_id
             )
-            is_used_elsewhere = (
-                open_request is None
-                and request.unique in self._by_wire_id
-                or request.unique in self.peer_request_ids
-            )
-            if request.single_use_id and (is_taken or is_used_elsewhere):
+            if request.single_use_id and (is_taken or self._is_id_used_elsewhere(request, open_request)):
                 raise RequestIdInUseError
             if job_manager is not None and open_request is None:
                 answer = job_manager.stored_answer(request)
@@ -154,9 +152,6 @@
                 elif waiter is not None:
                     waiter.answer(request, retained.answer)
                 return request
-        if request.unique in self.peer_request_ids:
-            self.counters.add("in.known_to_peer")
-            request_log.request_event("the peer process has a request of this id", request, logging.INFO)
         if waiter is not None:
             request.waiters.append(waiter)
         try:
@@ -166,16 +161,38 @@
             return request
         self.outstanding += 1
         request.backstop = self._start_backstop(request)
-        request.wire_id = self._assign_wire_id(request.unique)
-        self._by_wire_id[request.wire_id] = request
-        if job_manager is not None and not job_manager.accept(request):
-            self._reject_not_durable(request)
-            return request
+        if job_manager is not None:
+            self._register_wire_id(request)
+            if not job_manager.accept(request):
+                self._reject_not_durable(request)
+                return request
         if request.unique:
             self._by_unique[job_key] = request
-        self._events.append(self.decision_request(request))
+        if job_manager is not None or self.peer_jobs is None or not self.peer_jobs.claim(request):
+            self.begin(request)
         return request
 
+    def _is_id_used_elsewhere(self, request: Request, open_request: Request | None) -> bool:
+        """Return whether a request of another class, or of a peer process, has this request's id."""
+        if open_request is None and request.unique in self._by_wire_id:
+            return True
+        return self.peer_jobs is not None and self.peer_jobs.has_id(request.unique)
+
+    def begin(self, request: Request) -> None:
+        """Pass an accepted request on to the decision module."""
+        if request.is_relay:
+            self._finish(request, self.rejection(), EndReason.AT_PEER)
+            return
+        self._wait_for_peer(request, False)
+        if not request.wire_id:
+            self._register_wire_id(request)
+        self._events.append(self.decision_request(request))
+
+    def _register_wire_id(self, request: Request) -> None:
+        """Give a request the id that workers see, by which their callbacks find it."""
+        request.wire_id = self._assign_wire_id(request.unique)
+        self._by_wire_id[request.wire_id] = request
+
     def is_durable(self, cls: str) -> bool:
         """Return whether jobs of this class survive the end of the process."""
         return self.job_manager is not None and self.job_manager.covers_class(cls)
@@ -244,8 +261,17 @@
 
     def _start_backstop(self, request: Request) -> Deadline:
         """Schedule the answer that a request gets if nothing else answers it by its deadline."""
+        if request.waits_for_peer:
+            at = request.deadline - ANSWER_MARGIN_MS
+            return self.deadlines.set(at, lambda: self._end_wait_for_peer(request))
         return self.deadlines.set(request.deadline, lambda: self._answer_overdue(request))
 
+    def add_waiter(self, request: Request, waiter: ResponseSink, background: bool) -> None:
+        """Let one more client wait for a request, or note that it continues in the background."""
+        self.counters.add("in.joined")
+        request.waiters.append(waiter)
+        request.background = request.background or background
+
     def _join(self, request: Request, joining: Request, waiter: ResponseSink) -> None:
         """Let the client of a resubmission wait for the request that is already running.
 
@@ -503,6 +529,44 @@
         self.decide()
         learned.apply_to(self.module, estimates)
 
+    def wait_for_peer(self, request: Request) -> None:
+        """Let an accepted request wait for the peer processes: one of them may have its job."""
+        self._wait_for_peer(request, True)
+
+    def _wait_for_peer(self, request: Request, waits: bool) -> None:
+        if request.waits_for_peer is not waits:
+            request.waits_for_peer = waits
+            self.deadlines.drop(request.backstop)
+            request.backstop = self._start_backstop(request)
+
+    def _end_wait_for_peer(self, request: Request) -> None:
+        """Answer a request whose deadline comes while it waits for a peer process.
+
+        The job goes on there. Where only the end of this process has made the deadline so early, the client
+        is to submit its job again.
+        """
+        may_resubmit = request.cut_short and request.is_resubmittable
+        self._finish(request, self.rejection() if may_resubmit else FAILED, EndReason.OVERDUE_AT_PEER)
+
+    def end_by_peer(self, request: Request, answer: Answer | None, may_have_run: bool) -> None:
+        """End a request that waits for a peer process with the answer of that one, or without any."""
+        request.may_have_run_at_peer = may_have_run
+        self._finish(request, answer, EndReason.AT_PEER)
+
+    def move_to_peer(self, request: Request) -> None:
+        """Let a request wait for a peer process that continues it, with its attempts."""
+        self._drop_attempts(request)
+        request.attempts = []
+        self._forget_wire_id(request)
+        self.wait_for_peer(request)
+        self.counters.add("out.requests_moved")
+
+    def _drop_attempts(self, request: Request) -> None:
+        """Forget the attempts of a request that another process continues; they are not cancelled."""
+        for attempt in request.attempts:
+            attempt.ended = True
+            self.deadlines.drop(attempt.expiry)
+
     def hand_off(self, request: Request) -> None:
         """Drop a request that another process continues.
 
@@ -512,24 +576,28 @@
         request.waiters.clear()
         self.outstanding -= 1
         self.deadlines.drop(request.backstop)
-        for attempt in request.attempts:
-            attempt.ended = True
-            self.deadlines.drop(attempt.expiry)
-        self.counters.add("out.requests_moved")
+        self._drop_attempts(request)
+        if not request.waits_for_peer:  # else it was counted when it began to wait
+            self.counters.add("out.requests_moved")
         self._by_unique.pop((request.cls, request.unique), None)
         self._free_slot(request)
 
     def take_over(self, request: Request, waiter: ResponseSink | None) -> None:
-        """Accept a request that another process held, with its attempts.
+        """Accept a request that another process held, with its attempts; it may have waited for that here.
 
         Raises `ValueError` if its id is in use here, and `TableFull` if there is no room for it.
         """
         job_key = (request.cls, request.unique)
-        if (request.unique and job_key in self._by_unique) or request.wire_id in self._by_wire_id:
+        if request.unique and self._by_unique.get(job_key, request) is not request:
             raise ValueError("the request's id is in use in this process")
-        request.id = self.requests.add(request)
+        if request.wire_id in self._by_wire_id:
+            raise ValueError("the request's id at workers is in use in this process")
+        if request.id < 0:
+            request.id = self.requests.add(request)
+            self.outstanding += 1
         self.counters.add("in.requests_moved")
-        self.outstanding += 1
+        request.waits_for_peer = False
+        self.deadlines.drop(request.backstop)
         if waiter is not None:
             request.waiters.append(waiter)
         if not request.job:  # a durable job continues after the end of the process
@@ -551,6 +619,10 @@
         """Return the request that workers know by this id, until it has ended and so have its attempts."""
         return self._by_wire_id.get(wire_id)
 
+    def open_request(self, job: JobKey) -> Request | None:
+        """Return the open request of a job, by its class and the id that its client gave it."""
+        return self._by_unique.get(job)
+
     def request_by_unique(self, unique: str) -> Request | None:
         """Return the running request that its client submitted with this id, in whichever class."""
         return next((found for cls in self.classes if (found := self._by_unique.get((cls, unique)))), None)
@@ -692,6 +764,8 @@
         else:
             self.count_answer(request.cls, answer.verdict)
         self._cancel_unsent_attempts(request)
+        if request.waits_for_peer and self.peer_jobs is not None:
+            self.peer_jobs.withdraw(request)
         is_answered, answer = answer is not None and bool(request.waiters), answer or FAILED
         self._log_end(request, answer, reason)
         if request.job and self.job_manager is not None:
@@ -731,6 +805,8 @@
             del self._by_unique[request.cls, request.unique]
             if not request.job:
                 self._retain(request, answer)
+                if self.peer_jobs is not None:
+                    self.peer_jobs.note_end(request)
         waiters, request.waiters = request.waiters, []
         for waiter in waiters:
             waiter.answer(request, answer)
@@ -742,8 +818,12 @@
         """
         if request.ended and request.id >= 0 and all(s.ended for s in request.attempts):
             self.requests.remove(request.id)
-            if self._by_wire_id.get(request.wire_id) is request:
-                del self._by_wire_id[request.wire_id]
+            self._forget_wire_id(request)
+
+    def _forget_wire_id(self, request: Request) -> None:
+        """Forget by which id workers know a request."""
+        if self._by_wire_id.get(request.wire_id) is request:
+            del self._by_wire_id[request.wire_id]
 
     def _retain(self, request: Request, answer: Answer) -> None:
         """Retain the answer for resubmissions, where it matters to them.
--- a/eiderpin/core/moves.py
+++ b/eiderpin/core/moves.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from typing import Any
 
@@ -79,22 +80,43 @@
 
 
 def transfer_request(core: Dispatcher, request: Request) -> TransferredRequest | None:
-    """Take a request out of this process and its decision module, without cancelling anything.
+    """Take a request of a client that can't resubmit it out of this process and its decision module.
 
-    Returns None if the request has to stay: a request that has ended, a background job, one whose client can
-    resubmit it, a durable job, or one that its links or the decision module cannot transfer.
+    Nothing is cancelled. Returns None if the request has to stay: one that has ended, a background job, one
+    whose client can resubmit it, a durable job, or one that its links or the decision module cannot transfer.
     """
     core.decide()  # events that are queued for the request must not be lost
-    running = [attempt for attempt in request.attempts if not attempt.ended]
     if request.ended or request.background or not request.single_use_id or request.job:
         return None  # a durable job is transferred with the ledger
+    moved = _describe(core, request)
+    if moved is not None:
+        core.hand_off(request)
+    return moved
+
+
+def take_out_resubmittable(core: Dispatcher, request: Request) -> TransferredRequest | None:
+    """Take a request whose job its client can resubmit, and which may have run, out of the decision module.
+
+    Returns None if it has to stay, as with `transfer_request`, or since it has not been sent yet.
+    """
+    core.decide()
+    if request.ended or request.waits_for_peer or not request.is_resubmittable or request.job:
+        return None
+    if not any(attempt.may_have_run and not attempt.ended for attempt in request.attempts):
+        return None
+    return _describe(core, request)
+
+
+def _describe(core: Dispatcher, request: Request) -> TransferredRequest | None:
+    """Return the state of a request that the decision module gives up, or None if it has to stay."""
+    running = [attempt for attempt in request.attempts if not attempt.ended]
     if not all(attempt.endpoint.link.may_transfer(attempt) for attempt in running):
         return None
     standing = core.module.transfer_request(request.id, core.clock.now())
     if standing is None:
         return None
     now = core.clock.now()
-    moved = TransferredRequest(
+    return TransferredRequest(
         request.cls, request.unique, request.target.decode("latin-1"), request.body.decode("latin-1"),
         request.deadline - now, request.slots, request.memory, request.tenant, request.key, request.hint,
         request.client_retry, request.priority, request.wire_id, request.share,
@@ -107,8 +129,6 @@
         ],
         asdict(standing), request.idempotency_key,
     )  # fmt: skip
-    core.hand_off(request)
-    return moved
 
 
 def adopt(core: Dispatcher, moved: TransferredRequest, waiter: ResponseSink) -> Request:
@@ -116,26 +136,58 @@
 
     Raises `ValueError` if this process cannot continue it.
     """
-    now = core.clock.now()
+    standing = _check(core, moved)
+    request = Request(moved.cls, moved.unique, b"", b"", 0.0, single_use_id=True)
+    _resume(core, request, moved, standing, waiter)
+    return request
+
+
+def adopt_resubmittable(
+    core: Dispatcher, moved: TransferredRequest, placeholder: Callable[[], Request | None], background: bool
+) -> Request:
+    """Accept a request whose job its client can resubmit.
+
+    `placeholder` returns the request that has waited here for this one and now becomes it, if there is one;
+    it is called only once nothing else keeps this process from continuing the request. Raises `ValueError` if
+    something does.
+    """
+    standing = _check(core, moved)
+    if core.request_of(moved.wire_id) is not None:
+        raise ValueError("the request's id at workers is in use in this process")
+    request = placeholder() or Request(moved.cls, moved.unique, b"", b"", 0.0)
+    _resume(core, request, moved, standing, None)
+    request.background = request.background or background
+    return request
+
+
+def _check(core: Dispatcher, moved: TransferredRequest) -> api.Standing:
+    """Return the state of a request for the decision module. Raises `ValueError` if it can't go on here."""
     if moved.cls not in core.classes or any(attempt[0] not in core.endpoints for attempt in moved.attempts):
         raise ValueError("the request's class or one of its workers is unknown in this process")
     standing = api.Standing(**moved.standing)
     if not all(0 <= number < len(moved.attempts) for number, _, _ in standing.out):
         raise ValueError("the request's state names an attempt that does not exist")
-    request = Request(
-        moved.cls, moved.unique, moved.target.encode("latin-1"), moved.body.encode("latin-1"),
-        now + moved.left, moved.slots, moved.memory, moved.tenant, moved.key, moved.hint,
-        moved.client_retry, moved.priority, single_use_id=True, wire_id=moved.wire_id, share=moved.share,
-        idempotency_key=moved.idempotency_key,
-    )  # fmt: skip
-    for number, (name, age, timeout, may_have_run, ended) in enumerate(moved.attempts):
-        endpoint = core.endpoints[name]
-        request.attempts.append(
-            Attempt(request, number, endpoint, now - age, timeout, True, may_have_run, ended)
-        )
+    return standing
+
+
+def _resume(
+    core: Dispatcher, request: Request, moved: TransferredRequest, standing: api.Standing,
+    waiter: ResponseSink | None,
+) -> None:  # fmt: skip
+    """Continue `request` here in the state of the one that was moved. Raises `ValueError`."""
+    now = core.clock.now()
+    request.target, request.body = moved.target.encode("latin-1"), moved.body.encode("latin-1")
+    request.deadline, request.share, request.wire_id = now + moved.left, moved.share, moved.wire_id
+    request.slots, request.memory, request.hint = moved.slots, moved.memory, moved.hint
+    request.tenant, request.key = moved.tenant, moved.key
+    request.client_retry, request.priority = moved.client_retry, moved.priority
+    request.idempotency_key = moved.idempotency_key
+    request.attempts = [
+        Attempt(request, number, core.endpoints[name], now - age, timeout, True, may_have_run, ended)
+        for number, (name, age, timeout, may_have_run, ended) in enumerate(moved.attempts)
+    ]
     try:
         core.take_over(request, waiter)
     except TableFull:
         raise ValueError("there is no room") from None
     core.add_event(api.Adopted(core.decision_request(request), standing))
-    return request
--- a/eiderpin/core/request_log.py
+++ b/eiderpin/core/request_log.py
@@ -23,6 +23,8 @@
     FAILED = "failed"  # by the decision module; the request may have run
     OVERDUE = "overdue"  # the decision module gave no answer by its deadline
     CLIENT_LEFT = "client_left"
+    AT_PEER = "at_peer"  # a peer process had the job
+    OVERDUE_AT_PEER = "overdue_at_peer"  # no answer of the peer process came by its deadline
     NO_ROOM = "no_room"  # the table of requests is full
     NOT_DURABLE = "not_durable"  # it could not be stored as a durable job
 
--- a/eiderpin/core/requests.py
+++ b/eiderpin/core/requests.py
@@ -82,6 +82,9 @@
     cut_short: bool = False  # the shutdown made the deadline earlier than the client's
     share: float = 0.0  # share that is done (0 to 1), as last reported
     idempotency_key: str | None = None  # passed to workers unchanged, with every attempt
+    waits_for_peer: bool = False  # a peer process has the job, or has been asked whether it does
+    may_have_run_at_peer: bool = False
+    is_relay: bool = False  # stands for a request of one peer process that waits for a job of another
 
     @property
     def size(self) -> int:
@@ -105,7 +108,7 @@
 
     def may_have_run(self) -> bool:
         """Return whether some attempt may have run."""
-        return any(attempt.may_have_run for attempt in self.attempts)
+        return self.may_have_run_at_peer or any(attempt.may_have_run for attempt in self.attempts)
 
 
 class WorkerLink(Protocol):
--- a/eiderpin/core/retained_answers.py
+++ b/eiderpin/core/retained_answers.py
@@ -48,6 +48,10 @@
         """Return what was retained of a job and has not been dropped, even if its time is over."""
         return self._by_job.get(job)
 
+    def jobs(self) -> list[JobKey]:
+        """Return the jobs of which something is retained, oldest first."""
+        return list(self._by_job)
+
     def add(self, job: JobKey, retained: RetainedAnswer, now: float) -> None:
         """Retain an answer in place of any earlier one of the job, and drop what is beyond the limits."""
         self._remove(job)
--- a/eiderpin/net/handover.py
+++ b/eiderpin/net/handover.py
@@ -17,6 +17,7 @@
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.moves import TransferredRequest, WaitingClient, adopt, rebuild_request, transfer_request
+from eiderpin.core.peer_jobs import PeerJobs
 from eiderpin.core.requests import Request
 from eiderpin.net import handover_messages as messages
 from eiderpin.net.edge import ClientConnection, HttpFront
@@ -71,6 +72,7 @@
         on_change: Callable[[], None], may_transfer: Callable[[], bool],
     ) -> None:  # fmt: skip
         self.loop, self.core, self.http_front, self.path = loop, core, http_front, path
+        self.peer_jobs = core.peer_jobs = PeerJobs(core)
         self.may_transfer = may_transfer
         self.kept_ids: set[str] = set()  # wire ids of jobs that were not adopted and stay here
         self.apply_callback = apply_callback
@@ -78,7 +80,6 @@
         self.predecessor: Link | None = None
         self.successor: Link | None = None
         self.unidentified_links: list[Link] = []
-        self.last_number = 0  # of a message that is answered by its number
         self.ledger: LedgerOwner | None = None  # None: there are no durable jobs
         # Clients of the released ledger whose sockets are still to be sent to the successor.
         self.unsent_clients: list[tuple[WaitingClient, ClientConnection]] = []
@@ -152,16 +153,15 @@
             return
         self.unidentified_links.append(Link(self, conn, is_predecessor=False))
 
-    def on_hello(self, link: Link, ids: set[str]) -> None:
-        """Take the peer's hello with the ids of its jobs; only one successor is accepted."""
+    def on_hello(self, link: Link) -> bool:
+        """Accept a peer that has said hello, or close its link; only one successor is accepted."""
         if link in self.unidentified_links:
             self.unidentified_links.remove(link)
             if self.successor is not None:
                 link.close()
-                return
+                return False
             self.successor = link
-        self.core.peer_request_ids |= ids
-        self.on_change()
+        return True
 
     def on_link_closed(self, link: Link) -> None:
         """Go on without the process at the other end of a closed link."""
@@ -187,8 +187,6 @@
                 self.publish()
         else:
             return
-        if self.predecessor is None and self.successor is None:
-            self.core.peer_request_ids.clear()
         self.core.add_event(api.Beside(gone=True))
         self.on_change()
 
@@ -204,11 +202,13 @@
             if moved is None:
                 continue
             client.set_request(None)
-            sock, self.last_number = client.conn.detach(), self.last_number + 1
-            if not self.successor.send_socket(messages.AdoptJob(self.last_number, asdict(moved)), sock):
+            sock, number = client.conn.detach(), self.peer_jobs.next_number()
+            if not self.successor.send_socket(messages.AdoptJob(number, asdict(moved)), sock):
                 self.adopt_job(asdict(moved), sock)  # the link is busy: try again next time
                 return
-            self.successor.pending_transfers[self.last_number] = (moved, sock)
+            self.successor.pending_transfers[number] = (moved, sock)
+        if self.successor.claims is not None:
+            self.successor.claims.move_jobs()
         self.transfer_ledger()
 
     def transfer_ledger(self) -> None:
@@ -225,12 +225,12 @@
             if client.conn.closed:
                 self.unsent_clients.pop(0)
                 continue
-            self.last_number += 1
-            message = messages.AdoptClient(self.last_number, asdict(waits))
+            number = self.peer_jobs.next_number()
+            message = messages.AdoptClient(number, asdict(waits))
             if not self.successor.send_socket(message, client.conn.sock):
                 return  # the link is busy: try again next time
             client.set_request(None)
-            self.successor.pending_transfers[self.last_number] = (waits, client.conn.detach())
+            self.successor.pending_transfers[number] = (waits, client.conn.detach())
             self.unsent_clients.pop(0)
 
     def adopt_waiting_client(self, document: Document, sock: socket.socket) -> bool:
@@ -298,8 +298,7 @@
 
         self.core.counters.add("out.news_passed_on")
         for link in links:
-            self.last_number += 1
-            link.send_callback(self.last_number, callback, on_reply)
+            link.send_callback(self.peer_jobs.next_number(), callback, on_reply)
 
 
 def _short_socket_path(path: str) -> str:
--- a/eiderpin/net/handover_link.py
+++ b/eiderpin/net/handover_link.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import socket
 from collections import deque
@@ -17,12 +18,15 @@
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.moves import TransferredRequest, WaitingClient
 from eiderpin.net import handover_messages as messages
+from eiderpin.net.handover_claims import ClaimChannel
 from eiderpin.net.handover_messages import Document, FileIdentity, Holds, Message
 from eiderpin.net.loop import Connection
 
 if TYPE_CHECKING:
     from eiderpin.net.handover import Handover
 
+logger = logging.getLogger("eiderpin")
+
 HELLO_TIMEOUT_MS = 1000.0  # a peer that sends nothing for so long after connecting is not a dispatcher
 STATE_CHECK_MS = 50.0  # between checks whether the state has changed or jobs can be transferred
 SILENCE_TIMEOUT_MS = 3000.0  # a peer process that sends nothing for so long is taken to be stuck
@@ -57,9 +61,10 @@
         self.received_descriptors: deque[int] = deque()  # whose messages have not been handled yet
         self.silence_timeout = self.loop.deadlines.set(self.loop.clock.now() + HELLO_TIMEOUT_MS, self.close)
         self.state_check: Deadline | None = None
+        self.claims: ClaimChannel | None = None  # None before the peer's hello
         conn.on_data, conn.on_end, conn.receive = self.on_data, self.close, self.receive
         ids = [r.unique for r in handover.core.requests.all() if not r.ended]
-        self.send(messages.Hello(ids[:MAX_IDS]))
+        self.send(messages.Hello(ids[:MAX_IDS], claims=True))
 
     def send(self, message: Message) -> None:
         """Send a message."""
@@ -99,8 +104,10 @@
                     self.handle_message(messages.decode(line))
             if len(self.received_descriptors) > MAX_PENDING_DESCRIPTORS:
                 raise ValueError("too many descriptors without a message")
-        except (*messages.DECODE_ERRORS, OSError):
+        except (*messages.DECODE_ERRORS, OSError) as error:
             self.handover.core.counters.add("in.link_bad")
+            fields = {"reason": f"{type(error).__name__}: {error}"}
+            logger.warning("the link to the peer process is ended: a message makes no sense", extra=fields)
             self.close()
 
     def handle_message(self, message: Message) -> None:
@@ -108,10 +115,12 @@
         if isinstance(message, messages.Hello) is self.hello_received:
             raise ValueError("a hello comes first, and once")
         match message:
-            case messages.Hello(ids):
+            case messages.Hello(ids, claims):
                 self.hello_received = True
-                self.handover.on_hello(self, set(ids))
-                self.send_state()
+                if self.handover.on_hello(self):
+                    self.claims = ClaimChannel(self, set(ids), claims)
+                    self.handover.on_change()
+                    self.send_state()
             case messages.State():
                 self.holds, self.sockets, self.readiness = message.holds, message.sockets, message.readiness
                 self.handover.core.add_event(api.Beside(message.holds))
@@ -133,15 +142,17 @@
             case messages.LedgerReleased():
                 if self.handover.ledger is not None:
                     self.handover.ledger.on_ledger_released()
-            case messages.Adopted(number):
+            case messages.Adopted(number) if number in self.pending_transfers:
                 self.pending_transfers.pop(number)[1].close()
-            case messages.Refused(number):
+            case messages.Refused(number) if number in self.pending_transfers:
                 self.take_back(number)
             case messages.CallbackHandled(number):
                 reply, timeout = self.pending_callbacks.pop(number, (None, None))
                 self.loop.deadlines.drop(timeout)
                 if reply is not None:
                     reply(204)
+            case _ if self.claims is not None:
+                self.claims.handle_message(message)
 
     def next_received_socket(self) -> socket.socket:
         """Return the socket that came with the message. Raises `IndexError` if there is none."""
@@ -177,10 +188,16 @@
         if state != self.last_state or now > self.state_sent_at + STATE_REPEAT_MS:
             self.last_state, self.state_sent_at = state, now
             self.send(state)
+        if self.claims is not None:
+            self.claims.copy_answers()
         if self is self.handover.successor:
             self.handover.transfer_jobs()
         self.state_check = self.loop.deadlines.set(now + STATE_CHECK_MS, self.send_state)
 
+    def is_idle(self) -> bool:
+        """Return whether nothing is left to send or to be answered before this process may exit."""
+        return not self.pending_transfers and (self.claims is None or self.claims.is_idle())
+
     def close(self) -> None:
         """Close the link: take unadopted jobs back and reply 503 to callbacks in flight."""
         self.loop.deadlines.drop(self.silence_timeout)
@@ -188,6 +205,8 @@
         self.conn.close()
         for number in list(self.pending_transfers):
             self.take_back(number)
+        if self.claims is not None:
+            self.claims.close()
         while self.received_descriptors:
             os.close(self.received_descriptors.popleft())
         pending, self.pending_callbacks = self.pending_callbacks, {}
--- a/eiderpin/net/handover_messages.py
+++ b/eiderpin/net/handover_messages.py
@@ -15,11 +15,29 @@
     {"news": {...}, "ask": 7}       a worker's callback for an id that the sender does not know
     {"told": 7}                     the callback has been handled, or the id is not known here either
 
+The following are exchanged only if both hellos have `claims`; see `core.peer_jobs`. A job is named by its
+class and the id that its client gave it. Results are text in Latin-1.
+
+    {"jobs": [[class, id, left], ...]}   after the hello: jobs that the sender or its other peer has (`left`
+                                    null), or that ended there less than a minute ago, with the ms that
+                                    are left of it. Later: jobs that its other peer has begun
+    {"claim": [class, id], "background": false, "ask": 7}   a client has submitted this job; answered by
+    {"granted": 7}, {"taken": 7}    with `taken` the sender has the job, and its answer follows:
+    {"ended": 7, "answer": [verdict, result, wait], "ran": true}
+    {"progress": 7, "share": 0.5}, {"data": 7, "bytes": "...", "warning": false}   before the answer
+    {"withdrawn": 7}                the sender waits no longer for the answer
+    {"released": [class, id], "kept": true}   the job has ended at the sender; `kept`: it must not run again
+    {"retained": [[class, id, verdict, result, left, single_use_id], ...]}   copies of retained answers
+    {"move": {...}, "ask": 7, "clients": true, "background": false}   a job without a client's socket;
+                                    answered like `adopt`. With `clients`, some wait at the sender, and it
+                                    is answered like a claim that is taken, too
+
 A message is encoded by `encode`. `decode` returns it, or raises one of `DECODE_ERRORS`.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from typing import Any
@@ -28,6 +46,8 @@
 
 from eiderpin.core import learned
 from eiderpin.core.learned import Learned
+from eiderpin.core.requests import Answer, Verdict
+from eiderpin.core.retained_answers import RETENTION_MS, JobKey
 
 PROTOCOL_VERSION = 1
 DECODE_ERRORS = (ValueError, TypeError, KeyError, AttributeError, IndexError)
@@ -42,6 +62,7 @@
     """The first message: the ids of the sender's jobs that are under way."""
 
     ids: list[str]
+    claims: bool = False  # the sender's version knows of claims
 
 
 @dataclass(slots=True, frozen=True)
@@ -121,6 +142,104 @@
     number: int
 
 
+@dataclass(slots=True, frozen=True)
+class Jobs:
+    """Jobs of the sender, each with the ms for which it must not run elsewhere; infinity: it is open."""
+
+    jobs: list[tuple[JobKey, float]]
+
+
+@dataclass(slots=True, frozen=True)
+class ClaimJob:
+    """A client has submitted a job to the sender, in the background or not."""
+
+    number: int
+    job: JobKey
+    background: bool
+
+
+@dataclass(slots=True, frozen=True)
+class ClaimGranted:
+    """The sender does not have the job of the claim of this number."""
+
+    number: int
+
+
+@dataclass(slots=True, frozen=True)
+class ClaimRefused:
+    """The sender has the job of the claim of this number, and will tell its answer."""
+
+    number: int
+
+
+@dataclass(slots=True, frozen=True)
+class ClaimAnswered:
+    """The answer to the job of a claim that was refused, and whether the job may have run."""
+
+    number: int
+    answer: Answer
+    may_have_run: bool
+
+
+@dataclass(slots=True, frozen=True)
+class ClaimProgress:
+    """The share (0 to 1) that is done of the job of a claim that was refused."""
+
+    number: int
+    share: float
+
+
+@dataclass(slots=True, frozen=True)
+class ClaimData:
+    """Partial data, or a warning, of the job of a claim that was refused."""
+
+    number: int
+    data: bytes
+    warning: bool
+
+
+@dataclass(slots=True, frozen=True)
+class ClaimWithdrawn:
+    """The sender waits no longer for the answer to its claim."""
+
+    number: int
+
+
+@dataclass(slots=True, frozen=True)
+class JobReleased:
+    """A job has ended at the sender."""
+
+    job: JobKey
+    must_not_rerun: bool
+
+
+@dataclass(slots=True, frozen=True)
+class CopiedAnswer:
+    """A retained answer of the sender."""
+
+    job: JobKey
+    answer: Answer
+    left: float  # ms for which it is still retained
+    single_use_id: bool
+
+
+@dataclass(slots=True, frozen=True)
+class CopiedAnswers:
+    """Retained answers of the sender."""
+
+    answers: list[CopiedAnswer]
+
+
+@dataclass(slots=True, frozen=True)
+class MoveJob:
+    """A job without a client's socket. The receiver checks the document, as with `AdoptJob`."""
+
+    number: int
+    job: Document  # a `TransferredRequest`
+    waits: bool  # clients of the sender wait for its answer
+    background: bool
+
+
 Message = (
     Hello
     | Serving
@@ -133,6 +252,17 @@
     | LedgerReleased
     | ForwardedCallback
     | CallbackHandled
+    | Jobs
+    | ClaimJob
+    | ClaimGranted
+    | ClaimRefused
+    | ClaimAnswered
+    | ClaimProgress
+    | ClaimData
+    | ClaimWithdrawn
+    | JobReleased
+    | CopiedAnswers
+    | MoveJob
 )
 
 
@@ -143,8 +273,8 @@
 
 def _to_document(message: Message) -> dict[str, Any]:
     match message:
-        case Hello(ids):
-            return {"hello": PROTOCOL_VERSION, "ids": ids}
+        case Hello(ids, claims):
+            return {"hello": PROTOCOL_VERSION, "ids": ids, "claims": claims}
         case Serving(published):
             return {"serving": True, "published": published}
         case LearnedEstimates(estimates):
@@ -165,6 +295,37 @@
             return {"news": callback, "ask": number}
         case CallbackHandled(number):
             return {"told": number}
+        case Jobs(jobs):
+            return {"jobs": [[*job, left if left < math.inf else None] for job, left in jobs]}
+        case ClaimJob(number, job_key, background):
+            return {"claim": job_key, "background": background, "ask": number}
+        case ClaimGranted(number):
+            return {"granted": number}
+        case ClaimRefused(number):
+            return {"taken": number}
+        case ClaimAnswered(number, answer, may_have_run):
+            return {"ended": number, "answer": _answer_to_row(answer), "ran": may_have_run}
+        case ClaimProgress(number, share):
+            return {"progress": number, "share": share}
+        case ClaimData(number, data, warning):
+            return {"data": number, "bytes": data.decode("latin-1"), "warning": warning}
+        case ClaimWithdrawn(number):
+            return {"withdrawn": number}
+        case JobReleased(job_key, must_not_rerun):
+            return {"released": job_key, "kept": must_not_rerun}
+        case CopiedAnswers(answers):
+            return {"retained": [_copy_to_row(copied) for copied in answers]}
+        case MoveJob(number, job, waits, background):
+            return {"move": job, "ask": number, "clients": waits, "background": background}
+
+
+def _answer_to_row(answer: Answer) -> list[Any]:
+    return [answer.verdict.value, answer.result.decode("latin-1"), answer.wait]
+
+
+def _copy_to_row(copied: CopiedAnswer) -> list[Any]:
+    verdict, result, _ = _answer_to_row(copied.answer)
+    return [*copied.job, verdict, result, copied.left, copied.single_use_id]
 
 
 def decode(line: bytes | bytearray) -> Message:
@@ -179,7 +340,7 @@
 def _parse_hello(document: Any) -> Hello:
     if document["hello"] != PROTOCOL_VERSION:
         raise ValueError("unknown protocol version")
-    return Hello([str(i) for i in document["ids"]])
+    return Hello([str(i) for i in document["ids"]], bool(document.get("claims")))
 
 
 def _parse_serving(document: Any) -> Serving:
@@ -198,6 +359,53 @@
     return State(holds, int(state["sockets"]), str(state["readiness"]))
 
 
+def _parse_job(row: Any) -> JobKey:
+    cls, unique = row
+    return str(cls), str(unique)
+
+
+def _parse_jobs(document: Any) -> Jobs:
+    rows = [(_parse_job(row[:2]), row[2]) for row in document["jobs"]]
+    return Jobs([(job, math.inf if left is None else _parse_time_left(left)) for job, left in rows])
+
+
+def _parse_time_left(left: Any) -> float:
+    """Return a time in ms. Raises `ValueError` if no answer is retained for so long."""
+    if not 0.0 <= float(left) <= RETENTION_MS:
+        raise ValueError("a time that is out of range")
+    return float(left)
+
+
+def _parse_answer(verdict: Any, result: Any, wait: Any = None) -> Answer:
+    return Answer(Verdict(verdict), result.encode("latin-1"), None if wait is None else float(wait))
+
+
+def _parse_answered(document: Any) -> ClaimAnswered:
+    return ClaimAnswered(int(document["ended"]), _parse_answer(*document["answer"]), bool(document["ran"]))
+
+
+def _parse_progress(document: Any) -> ClaimProgress:
+    share = float(document["share"])
+    if not 0.0 <= share <= 1.0:
+        raise ValueError("a share that is out of range")
+    return ClaimProgress(int(document["progress"]), share)
+
+
+def _parse_data(document: Any) -> ClaimData:
+    data = document["bytes"].encode("latin-1")
+    return ClaimData(int(document["data"]), data, bool(document["warning"]))
+
+
+def _parse_copies(document: Any) -> CopiedAnswers:
+    return CopiedAnswers(
+        [
+            CopiedAnswer(_parse_job((cls, unique)), _parse_answer(verdict, result), _parse_time_left(left),
+                         bool(single_use_id))
+            for cls, unique, verdict, result, left, single_use_id in document["retained"]
+        ]
+    )  # fmt: skip
+
+
 _PARSERS: dict[str, Callable[[Any], Message]] = {
     "hello": _parse_hello,
     "state": _parse_state,
@@ -210,4 +418,19 @@
     "adopted": lambda document: Adopted(int(document["adopted"])),
     "refused": lambda document: Refused(int(document["refused"])),
     "told": lambda document: CallbackHandled(int(document["told"])),
+    "jobs": _parse_jobs,
+    "claim": lambda document: ClaimJob(
+        int(document["ask"]), _parse_job(document["claim"]), bool(document["background"])
+    ),
+    "granted": lambda document: ClaimGranted(int(document["granted"])),
+    "taken": lambda document: ClaimRefused(int(document["taken"])),
+    "ended": _parse_answered,
+    "progress": _parse_progress,
+    "data": _parse_data,
+    "withdrawn": lambda document: ClaimWithdrawn(int(document["withdrawn"])),
+    "released": lambda document: JobReleased(_parse_job(document["released"]), bool(document["kept"])),
+    "retained": _parse_copies,
+    "move": lambda document: MoveJob(
+        int(document["ask"]), document["move"], bool(document["clients"]), bool(document["background"])
+    ),
 }
--- a/eiderpin/shutdown.py
+++ b/eiderpin/shutdown.py
@@ -123,8 +123,8 @@
     def _may_exit_once_answered(self) -> bool:
         """Return whether the process may exit once all requests are answered."""
         now, successor = self.core.clock.now(), self.handover.successor if self.handover is not None else None
-        if successor is not None and successor.pending_transfers:
-            return False  # requests in transfer to the successor, which it may still refuse
+        if successor is not None and not successor.is_idle() and not self._must_exit():
+            return False  # requests in transfer, which the successor may still refuse, or retained answers
         if self.handed_over_at is not None and not len(self.http_front.connections):
             return now > self.handed_over_at + LINGER_MS
         schedule = self.schedule
@@ -152,6 +152,10 @@
         """Return whether the time for the last answers is over."""
         return self.schedule is not None and self.core.clock.now() >= self.schedule.answers_by
 
+    def _must_exit(self) -> bool:
+        """Return whether the time for the exit has come, whatever is still open."""
+        return self.schedule is not None and self.core.clock.now() >= self.schedule.exits_by
+
     def _resume_listening(self) -> None:
         """Accept connections again because another request has arrived: its worker must be able to call back.
 
