Let workers' callbacks find a repeatable job that has come back from a dead process

Seen in the whole suite, in test_crash.py: a Gearman client's time-lookup that had gone to the new process, which was then killed, began anew in the old one and failed at its deadline, though its worker reported the result.

Cause: the old process had forgotten by which id workers know the job when it went over, and kept the id itself, so `begin` did not register it again. The id is now dropped with the rest.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -184,7 +184,7 @@
             self._finish(request, self.rejection(), EndReason.AT_PEER)
             return
         self._wait_for_peer(request, False)
-        if not request.wire_id:
+        if not request.wire_id:  # a durable job's is registered before
             self._register_wire_id(request)
         self._events.append(self.decision_request(request))
 
@@ -558,6 +558,7 @@
         self._drop_attempts(request)
         request.attempts = []
         self._forget_wire_id(request)
+        request.wire_id = ""
         self.wait_for_peer(request)
         self.counters.add("out.requests_moved")
 
--- a/tests/test_crash.py
+++ b/tests/test_crash.py
@@ -453,7 +453,7 @@
             durable = {"directory": folder, "classes": ["result-post"]}
             old = site.serving(durable=durable, fronts=("gearman",))
             peer = GearmanPeer(old.at["gearman"])
-            # A Gearman client's job can't be transferred, so the old process stays.
+            # A Gearman client's connection can't be transferred, so the old process stays.
             peer.put(Kind.SUBMIT_JOB, b"time-lookup", b"l1", b"x")
             peer.wait_for_packet(Kind.JOB_CREATED)
             client = post_in_background(old, "s1")
--- a/tests/test_peer_jobs.py
+++ b/tests/test_peer_jobs.py
@@ -366,6 +366,21 @@
     assert len(site.runs) == 1
 
 
+def test_a_repeatable_job_that_has_gone_to_a_new_process_that_dies_runs_again_for_its_client() -> None:
+    """Its new run has to be found by the worker's callback."""
+    site, old, new = make_pair()
+    first = site.submit(old, FREE, "a")
+    site.deliver_all()
+    site.advance_clock(100.0)
+    site.move_jobs(old)
+    site.deliver_all()
+    new.alive = False
+    site.deliver_all()
+    site.advance_clock(100.0)
+    site.end_run(site.runs[1], api.Outcome.DONE)
+    assert first.client.answers == [Answer(Verdict.SERVED, b"result of a")]
+
+
 def test_the_third_process_does_not_run_a_job_of_the_first_when_the_second_has_ended() -> None:
     """The first and the third have no link, so the second must have told the third of the job before."""
     site = Site(0, 3)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -230,7 +230,7 @@
             client.put(Kind.SUBMIT_JOB, b"time-lookup", b"q2", b"")
             self.assertEqual(client.wait_for_packet(Kind.WORK_COMPLETE).args[1][-6:], b"ran q2")
             self.assertEqual(figures(new.at["management"])["results"]["time-lookup"]["succeeded"], 1)
-            # The job of a Gearman client is not transferred: the old process answers it.
+            # The connection of a Gearman client is not transferred: the old process answers it.
             site.held.go.set()
             self.assertEqual(waiting.wait_for_packet(Kind.WORK_COMPLETE).args[1][-6:], b"ran s1")
             self.assertEqual(old.process.wait(20), 0)
