Send nothing by a stored list until discovery has answered, however long that takes

Cause: the hold of the stored list ended by a time-out (0.7 s, 0.3 s where lists are asked for) and with the first call that failed. Ruled out: an answer that was dropped.

Change: ListValidity says which workers are held back, and only an answer of discovery releases them. Why this works: what discovery has counts as told from the first moment of a process, and nothing else says whether the list still holds. Where an agent on the host does not answer, the process says for 4 s that it is not ready.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -344,7 +344,8 @@
         """Update the endpoints from a list by one source of workers, each with its address.
 
         A complete list covers the workers of its own source only. A stored list comes from the source that
-        requests the current list from discovery next. A failed list has no workers.
+        requests the current list from discovery next, and nothing is sent by it before discovery has
+        answered. A failed list has no workers.
         """
         now = self.clock.now()
         listed: list[api.WorkerEntry] = []
@@ -367,8 +368,8 @@
                 elif endpoint.link is not link:
                     listed.append(endpoint.listed)
         self.listed = self.listed or kind is not api.ListKind.FAILED
-        is_being_asked = kind is api.ListKind.STORED and self.source is None
-        self._events.append(api.Membership(kind, listed, by_discovery, is_being_asked))
+        is_stored = kind is api.ListKind.STORED
+        self._events.append(api.Membership(kind, listed, by_discovery, is_to_be_confirmed=is_stored))
 
     def reapply_overrides(self, names: Iterable[str]) -> None:
         """Update the workers of these names, whose overrides have changed."""
@@ -730,6 +731,11 @@
             self._events.append(api.RequestGone(request.id))
             self._finish(request, FAILED, EndReason.OVERDUE)
 
+    def has_usable_worker(self) -> bool:
+        """Return whether some worker is in service and not held back until discovery confirms the list."""
+        held_back = self.module.list_validity.held_back
+        return any(e.in_service and e.name not in held_back for e in self.endpoints.values())
+
     # -- figures for operators
 
     def count_answer(self, cls: str, verdict: Verdict) -> None:
--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -27,6 +27,7 @@
 from zlib import crc32
 
 from eiderpin import interface as api
+from eiderpin.policy.list_validity import ListValidity
 from eiderpin.policy.list_watch import ListWatch
 
 # ---- constants -----------------------------------------------------------------------------------------
@@ -165,7 +166,7 @@
         "open_attempts", "our_slots", "others", "others_at", "slowdown", "slowdown_at", "run_ratio",
         "failures_in_a_row", "on_probation", "ejected_until", "cold_until", "cold_spent", "pools",
         "recently_ended", "classes", "known_slots", "last_message_at", "class_backoffs", "peer_slots",
-        "peer_cold_work", "failure_rate", "failure_rate_at", "last_success_at", "probed_at", "confirmed",
+        "peer_cold_work", "failure_rate", "failure_rate_at", "last_success_at", "probed_at",
     )  # fmt: skip
 
     def __init__(self, entry: api.WorkerEntry, shape: Shape) -> None:
@@ -177,7 +178,6 @@
         self.born = entry.born
         self.state = entry.state
         self.ready = False  # in the pools that rounds draw from
-        self.confirmed = True  # False: known only from a stored list, which may be out of date
         self.open_attempts: dict[tuple[int, int], Attempt] = {}  # whose end was not reported, oldest first
         self.our_slots = 0.0  # needed by our attempts
         self.others = -1.0  # slots held by other dispatchers when last observed; -1: never observed
@@ -433,7 +433,7 @@
         self.actions: list[api.Action] = []
         self.classes = {c.name: c for c in settings.classes}
         self.workers: dict[str, Worker] = {}
-        self.unconfirmed: list[Worker] = []  # known only from a stored list that may not be used yet
+        self.list_validity = ListValidity()
         self.shapes: dict[str, Shape] = {}
         # Token buckets of the tenants: (requests left, when that was so, requests regained per ms).
         limited = [t for t in settings.tenants if t.allowance_per_s > 0]
@@ -498,7 +498,8 @@
             if handler is None:
                 raise TypeError(f"{type(event).__name__} is not an event of this module")
             handler(event)  # type: ignore[operator]
-        self.update_list_watch()
+        if self.list_watch.begin_call_if_due(now):
+            self.actions.append(api.Watch(True))
         self.end_expired_jobs()
         self.check_unstarted()
         self.run_rounds()
@@ -512,34 +513,39 @@
 
         A complete list ends the membership of all workers that it does not name.
         """
-        if event.by_discovery:
-            self.list_watch.record_list(event, self.now)
         if event.kind is api.ListKind.FAILED:
+            self.list_watch.record_failure(self.now)
             return
-        stored_only = event.kind is api.ListKind.STORED and self.list_watch.holds_stored_list(self.now)
+        if event.kind is api.ListKind.STORED and (event.is_to_be_confirmed or self.settings.must_ask):
+            self.list_validity.hold_back({e.name for e in event.entries} - self.workers.keys())
         for entry in event.entries:
-            self.update_worker(entry, stored_only)
+            self.update_worker(entry)
         if event.kind is not api.ListKind.CHANGES:
             named = {e.name for e in event.entries}
             for worker in list(self.workers.values()):
                 if worker.name not in named:
                     self.set_state(worker, api.WorkerState.GONE)
                     self.drop_if_gone(worker)
+        if event.by_discovery and event.kind is not api.ListKind.STORED:
+            self.on_list_confirmed()
+
+    def on_list_confirmed(self) -> None:
+        """Use the workers that were held back until discovery has answered."""
+        self.list_watch.record_answer()
+        released = self.list_validity.confirm()
+        for worker in filter(None, map(self.workers.get, released)):
+            self.update_ready(worker)
+        if released:
+            for queue in self.round_queues.values():
+                queue.due = self.now
 
-    def update_worker(self, entry: api.WorkerEntry, stored_only: bool) -> None:
-        """Apply an entry of the list to its worker, which is created if it is new.
-
-        `stored_only`: the entry is from a stored list that may not be used yet, so that a worker known only
-        from it is sent nothing.
-        """
+    def update_worker(self, entry: api.WorkerEntry) -> None:
+        """Apply an entry of the list to its worker, which is created if it is new."""
         worker = self.workers.get(entry.name)
         if worker is None:
             shape = self.shapes.setdefault(entry.shape, Shape())
             worker = self.workers[entry.name] = Worker(entry, shape)
             worker.state = api.WorkerState.GONE
-            if stored_only:
-                worker.confirmed = False
-                self.unconfirmed.append(worker)
             if entry.classes is not None and not self.rounds_by_class:
                 self.split_rounds_by_class()
             self.assign_pools(worker)
@@ -630,12 +636,12 @@
     def update_ready(self, worker: Worker) -> None:
         """Put a worker into the pools that rounds draw from, or take it out.
 
-        It is ready while it is in service, not ejected, and not known only from a stored list that may not be
-        used yet. On probation, it must also have no attempt younger than PROBATION_MS.
+        It is ready while it is in service, not ejected, and not held back until discovery confirms the list.
+        On probation, it must also have no attempt younger than PROBATION_MS.
         """
         ready = (
             worker.state is api.WorkerState.IN_SERVICE
-            and worker.confirmed
+            and worker.name not in self.list_validity.held_back
             and worker.ejected_until <= self.now
             and not (
                 worker.on_probation
@@ -648,18 +654,6 @@
                 (pool.add if ready else pool.remove)(worker)
             self.update_trusted(worker)
 
-    def update_list_watch(self) -> None:
-        """Ask for the list when that is due, and start to use a stored one once that is allowed."""
-        if self.list_watch.begin_call_if_due(self.now):
-            self.actions.append(api.Watch(True))
-        if self.unconfirmed and not self.list_watch.holds_stored_list(self.now):
-            confirmed, self.unconfirmed = self.unconfirmed, []
-            for worker in confirmed:
-                worker.confirmed = True
-                self.update_ready(worker)
-            for queue in self.round_queues.values():
-                queue.due = self.now
-
     # -- load estimate
 
     def slots(self, worker: Worker) -> float:
@@ -1678,7 +1672,7 @@
             due = min(due, self.expiries[0][0])
         if self.unstarted:
             due = min(due, self.unstarted[0].sent_at + self.start_timeout())
-        due = max(min(due, self.list_watch.next_at(self.now)), self.now)
+        due = max(min(due, self.list_watch.next_at()), self.now)
         if due < self.timer_at:
             self.timer_at = due
             self.timer_handle += 1
--- a/eiderpin/interface.py
+++ b/eiderpin/interface.py
@@ -216,7 +216,7 @@
     kind: ListKind
     entries: list[WorkerEntry] = field(default_factory=list)
     by_discovery: bool = True  # False: by a front, a file or an operator, so no call to discovery is answered
-    is_being_asked: bool = False  # for a stored list: the current one is being requested from discovery
+    is_to_be_confirmed: bool = False  # a stored list: nothing is sent by it before discovery has answered
 
 
 @dataclass(slots=True)
--- a/eiderpin/net/discovery.py
+++ b/eiderpin/net/discovery.py
@@ -110,7 +110,6 @@
         self.conn: Connection | None = None
         self.reader = http.ResponseReader()
         self.timer: Deadline | None = None  # timeout of the call, or time of the next one
-        self.has_called = False  # a call has begun since the start
         self.has_answered = False  # discovery has answered since the start
         self.verified = False  # discovery has answered since the last failure
         self.began_at = loop.clock.now()
@@ -159,7 +158,9 @@
         self.core.counters.add(f"in.discovery_{reason}")
         self.failures += 1
         if self.failures == 1:
-            fields = {"reason": reason, "generation": self.generation, "list_age_ms": round(self.list_age_ms)}
+            fields = {"reason": reason, "generation": self.generation,
+                      "list_age_ms": round(self.list_age_ms),
+                      "held_back": len(self.core.module.list_validity.held_back)}  # fmt: skip
             logger.warning("discovery does not tell the list", extra=fields)
 
     def note_answer(self, generation: int) -> None:
@@ -181,9 +182,9 @@
         target = b"/catalog/members"
         wait_ms = 0.0
         if self.generation is not None:
-            # A call that does not wait shows soonest whether discovery answers and whether a stored list is
-            # still valid. On request each call costs the service capacity: there the second one is a watch.
-            is_watch = self.verified or (self.on_request and self.has_called)
+            # A call that does not wait shows soonest whether discovery answers; the stored list is not used
+            # before. On request each call costs the service capacity: there, calls after that are watches.
+            is_watch = self.verified or (self.on_request and self.has_answered)
             wait_ms = float(WATCH_WAIT_MS) if is_watch else 0.0
             target += b"?after=%d&wait_ms=%d" % (self.generation, wait_ms)
         if self.conn is None:
@@ -194,7 +195,6 @@
                 return
             self.reader = http.ResponseReader(MAX_LIST_BYTES)
             self.conn.on_data, self.conn.on_end = self.on_data, self.on_end
-        self.has_called = True
         # A busy service on request may take long for any call.
         timeout_ms = (WATCH_WAIT_MS if self.on_request else wait_ms) + SILENCE_TIMEOUT_MS
         self.timer = self.loop.deadlines.set(self.loop.clock.now() + timeout_ms, self.on_timeout)
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -60,6 +60,9 @@
 DRAIN_SETTLE_MS = 400.0
 # A new process takes over the clients by then, even where discovery or its predecessor hasn't answered yet.
 SERVE_WITHIN_MS = 3000.0
+# A process that starts while discovery is down says for so long that it is not ready, so that clients go to
+# others. The platform takes one that is not ready in 6 s for failed.
+READY_WITHIN_MS = 4000.0
 EXTRA_WORKER_CONNECTIONS = 6  # that a process may still add to workers once its successor serves the clients
 STORE_RETRY_MS = 100.0  # between checks whether the predecessor has released its member of the store
 HELD_REQUESTS_MEMORY_SHARE = 0.125  # of the memory limit, for requests that wait or are only partly received
@@ -397,7 +400,7 @@
             return "drain"
         if self.ledger is not None and not self.ledger.is_ready:
             return "down"
-        if not self.serving or not any(e.in_service for e in self.core.endpoints.values()):
+        if not self.serving or not self.has_workers_to_send_to():
             return "down"
         max_requests = min(self.http_front.max_connections, self.config.settings.most_held)
         free = 100 - 100 * len(self.core.requests) // max_requests
@@ -406,6 +409,19 @@
             free = free * rejoin.traffic_percent(self.clock.now()) // 100
         return f"up {max(1, free)}%"
 
+    def has_workers_to_send_to(self) -> bool:
+        """Whether requests can be sent, or are expected to be soon.
+
+        Where an agent on this host is to confirm the stored list, that takes milliseconds unless discovery is
+        down, and then others serve the clients better for now. One list service for all dispatchers may take
+        seconds, and after a common start all of them wait for it.
+        """
+        if self.core.has_usable_worker():
+            return True
+        is_asked = self.core.settings.must_ask
+        may_be_ready = is_asked or self.clock.now() >= self.started_at + READY_WITHIN_MS
+        return may_be_ready and any(e.in_service for e in self.core.endpoints.values())
+
     @property
     def rejoin(self) -> RejoinProgress | None:
         """The progress of the rejoin after a start; None where the dispatcher has no part in the store."""
@@ -535,6 +551,7 @@
             self.counters.counts["observer.age_ms"] = int(self.control_plane.observer.age_ms)
         if self.discovery is not None:
             self.counters.counts["discovery.list_age_ms"] = int(self.discovery.list_age_ms)
+            self.counters.counts["discovery.held_back"] = len(self.core.module.list_validity.held_back)
         lines = ["counters", *self.counters.lines(), "end of counters"]
         for line in lines:
             if self.log_stream is not None:
