Do not take changes alone for the whole list of workers that was asked for

Seen in a test of another fault: a discovery that answers every call with changes only, none at that, counted as one that had confirmed the whole list, so that workers known from elsewhere stayed in use. Cause: an answer to a call for the whole list was not asked whether it is whole. It counts as a failed call now (`in.discovery_incomplete`), and the whole list is asked for again. The test failed before in both modes, since such answers counted as good.

--- a/eiderpin/net/discovery.py
+++ b/eiderpin/net/discovery.py
@@ -266,6 +266,10 @@
             self.note_failure("older")
             self.handle_failure(OUTDATED_RETRY_MS)
             return
+        if self.generation is None and not whole:
+            self.note_failure("incomplete")
+            self.handle_failure()
+            return
         if generation < (self.newest_generation or 0) and not whole:
             # Discovery was restarted and counts from a lower generation: its changes alone are not enough.
             self.generation = None
--- a/tests/test_discovery_ends.py
+++ b/tests/test_discovery_ends.py
@@ -298,6 +298,24 @@
             agent.failure = answer_without_length
             self.assertLess(run_agent(harness, agent, until=lambda: is_draining(harness)), 1000)
 
+    def test_changes_alone_are_not_taken_for_the_whole_list(self) -> None:
+        """They say nothing of the other workers, which would count as confirmed."""
+        for settings in ({}, ON_REQUEST):
+            with self.subTest(on_request=bool(settings)), watched_agent(**settings) as (harness, agent):
+                agent.failure = FAILURES["not understood"]  # the whole list is fetched after that
+                agent.list_worker(harness.workers[1])
+                run_agent(harness, agent, ms=3000)
+                document = {"generation": 99, "reset": False, "instances": []}
+                agent.failure = lambda peer, d=document: peer.send(
+                    http_response(200, body=json.dumps(d).encode())
+                )
+                run_agent(harness, agent, ms=6000)
+                self.assertGreater(harness.counter_value("in.discovery_incomplete"), 0)
+                agent.list_worker(harness.workers[0], "Terminating")
+                agent.failure = None
+                run_agent(harness, agent, ms=KNOWN_WITHIN_MS - 200)
+                self.assertTrue(is_draining(harness))
+
     def test_a_change_of_address_during_an_answer_from_the_old_one(self) -> None:
         """A reload races an answer of the old address, in both orders: the list of the new address counts."""
         for answer_first in (True, False):
