Hold the list back where SIGHUP names another discovery that does not answer

The same cause as with a stored list, on a related path: a list that the present discovery has not confirmed stayed in use for as long as that one did not answer. What it lists counts as told 4 s after the SIGHUP, so from then on a dispatcher may send to workers that it lists as draining.

Change: ListValidity holds the workers of the former list back from 4 s on, and releases them with the first answer; it is asked again before the first byte of an attempt whose connection came up late. The process says meanwhile that it is not ready. Weighed: to go on watching the former discovery as well, which would keep a list in use that the rule counts as void, and needs a second connection.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -371,6 +371,11 @@
         is_stored = kind is api.ListKind.STORED
         self._events.append(api.Membership(kind, listed, by_discovery, is_to_be_confirmed=is_stored))
 
+    def list_source_changed(self, link: WorkerLink) -> None:
+        """Note that another discovery is asked from now on, which has to confirm the workers of this link."""
+        listed = [endpoint.listed for endpoint in self.endpoints.values() if endpoint.link is link]
+        self._events.append(api.Membership(api.ListKind.UNCONFIRMED, listed))
+
     def reapply_overrides(self, names: Iterable[str]) -> None:
         """Update the workers of these names, whose overrides have changed."""
         changed = []
--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -500,6 +500,7 @@
             handler(event)  # type: ignore[operator]
         if self.list_watch.begin_call_if_due(now):
             self.actions.append(api.Watch(True))
+        self.update_ready_workers(self.list_validity.update(now))
         self.end_expired_jobs()
         self.check_unstarted()
         self.run_rounds()
@@ -513,29 +514,30 @@
 
         A complete list ends the membership of all workers that it does not name.
         """
+        names = {e.name for e in event.entries}
         if event.kind is api.ListKind.FAILED:
             self.list_watch.record_failure(self.now)
             return
+        if event.kind is api.ListKind.UNCONFIRMED:
+            self.list_validity.change_source(names, self.now)
+            return
         if event.kind is api.ListKind.STORED and (event.is_to_be_confirmed or self.settings.must_ask):
-            self.list_validity.hold_back({e.name for e in event.entries} - self.workers.keys())
+            self.list_validity.hold_back(names - self.workers.keys())
         for entry in event.entries:
             self.update_worker(entry)
         if event.kind is not api.ListKind.CHANGES:
-            named = {e.name for e in event.entries}
             for worker in list(self.workers.values()):
-                if worker.name not in named:
+                if worker.name not in names:
                     self.set_state(worker, api.WorkerState.GONE)
                     self.drop_if_gone(worker)
         if event.by_discovery and event.kind is not api.ListKind.STORED:
-            self.on_list_confirmed()
+            self.list_watch.record_answer()
+            self.update_ready_workers(self.list_validity.confirm())
 
-    def on_list_confirmed(self) -> None:
-        """Use the workers that were held back until discovery has answered."""
-        self.list_watch.record_answer()
-        released = self.list_validity.confirm()
-        for worker in filter(None, map(self.workers.get, released)):
+    def update_ready_workers(self, names: Iterable[str]) -> None:
+        """Update which of these workers are ready, after discovery has confirmed the list or has not."""
+        for worker in filter(None, map(self.workers.get, names)):
             self.update_ready(worker)
-        if released:
             for queue in self.round_queues.values():
                 queue.due = self.now
 
@@ -1323,12 +1325,13 @@
         """Whether an attempt may still write its first byte, `now` being the time in ms.
 
         It is asked just before the write. A slow connection may have held that back until the request has
-        ended, is past its deadline, or is past the memory span of an earlier attempt.
+        ended, is past its deadline, or is past the memory span of an earlier attempt, or until the list is no
+        longer confirmed.
         """
         attempt = self.attempts.get((request, number))
         if attempt is None or attempt.job.ended or now >= attempt.job.deadline:
             return False
-        return may_repeat(attempt.job, now, attempt)
+        return self.list_validity.may_send(attempt.worker.name, now) and may_repeat(attempt.job, now, attempt)
 
     def open_attempt(self, job: Job, number: int, worker: Worker, sent_at: float) -> Attempt:
         """Register an attempt as sent at `sent_at`, and return it. It takes up slots of its worker."""
@@ -1672,7 +1675,7 @@
             due = min(due, self.expiries[0][0])
         if self.unstarted:
             due = min(due, self.unstarted[0].sent_at + self.start_timeout())
-        due = max(min(due, self.list_watch.next_at()), self.now)
+        due = max(min(due, self.list_watch.next_at(), self.list_validity.next_at()), self.now)
         if due < self.timer_at:
             self.timer_at = due
             self.timer_handle += 1
--- a/eiderpin/interface.py
+++ b/eiderpin/interface.py
@@ -46,6 +46,7 @@
     CHANGES = "changes"  # only the entries that changed
     COMPLETE = "complete"  # all workers; one that is absent has been removed
     STORED = "stored"  # a complete list stored in an earlier run, perhaps out of date
+    UNCONFIRMED = "unconfirmed"  # workers known so far, while another discovery is to confirm them
     FAILED = "failed"  # a call to discovery failed, or the watch was dropped; no entries
 
 
--- a/eiderpin/net/discovery.py
+++ b/eiderpin/net/discovery.py
@@ -134,10 +134,11 @@
         """Watch at another address from now on.
 
         Generations of another server are not comparable, so the whole list is fetched; until it is received
-        the present list stays in use.
+        the present list stays in use, but not for long: see `ListValidity`.
         """
         if server_address == self.server_address:
             return
+        self.core.list_source_changed(self.link)
         self.server_address, self.generation = server_address, None
         self.newest_generation = self.outdated_since = None
         self.verified = False
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -418,6 +418,8 @@
         """
         if self.core.has_usable_worker():
             return True
+        if self.discovery is not None and self.discovery.has_answered:
+            return False  # a reload has named another discovery, which does not answer
         is_asked = self.core.settings.must_ask
         may_be_ready = is_asked or self.clock.now() >= self.started_at + READY_WITHIN_MS
         return may_be_ready and any(e.in_service for e in self.core.endpoints.values())
--- a/tests/test_discovery_ends.py
+++ b/tests/test_discovery_ends.py
@@ -12,7 +12,15 @@
 from unittest import mock
 
 from eiderpin.net import discovery
-from tests.crossing import Harness, Peer, Worker, http_response, job_request, running_harness
+from tests.crossing import (
+    Harness,
+    Peer,
+    Worker,
+    http_response,
+    job_request,
+    leads_to_worker,
+    running_harness,
+)
 
 KNOWN_WITHIN_MS = 6000.0  # required by the operators of the platform
 STEP_MS = 20.0  # between two turns of the agent
@@ -227,6 +235,75 @@
                 self.assertLess(watch.list_age_ms, 100)
 
 
+class AnotherDiscovery(unittest.TestCase):
+    """A reload that names another discovery, which has news that the present one does not have."""
+
+    def move(self, harness: Harness, other: Agent) -> None:
+        """Reload with the other agent as discovery; it lists the worker w0 as draining."""
+        other.list_worker(harness.workers[0], "Terminating")
+        other.list_worker(harness.workers[1])
+        assert harness.service.discovery is not None
+        host, port = other.address.split(":")
+        harness.service.discovery.change_address((host, int(port)))
+
+    def serve(self, harness: Harness, other: Agent, ms: float) -> tuple[list[str], list[str]]:
+        """Send requests for `ms`, and return which have begun at each worker meanwhile."""
+        before = [len(worker.begun()) for worker in harness.workers]
+        for _ in range(int(ms / 100)):
+            harness.client().send(job_request("time-lookup", f"r{len(harness.clients)}", wait=7000))
+            run_agent(harness, other, ms=100)
+        first, second = (w.begun()[n:] for w, n in zip(harness.workers, before, strict=True))
+        return first, second
+
+    def test_a_list_that_it_does_not_confirm_in_time_is_not_used(self) -> None:
+        """What it lists counts as known 4 s after the reload, whether it answers or not."""
+        for settings, (name, failure) in itertools.product(({}, ON_REQUEST), FAILURES.items()):
+            with (
+                self.subTest(on_request=bool(settings), failure=name),
+                watched_agent(**settings) as (harness, _),
+            ):
+                other = Agent()
+                other.failure = failure
+                self.move(harness, other)
+                self.assertTrue(self.serve(harness, other, 3500)[0])  # the present list is still in use
+                self.serve(harness, other, 800)
+                self.assertEqual(self.serve(harness, other, 8000), ([], []))
+                self.assertEqual(harness.service.readiness(), "down")
+                other.failure = None
+                first, second = self.serve(harness, other, KNOWN_WITHIN_MS)
+                self.assertEqual((first, bool(second)), ([], True))
+                self.assertTrue(is_draining(harness))
+                other.close()
+
+    def test_a_list_that_it_confirms_in_time_stays_in_use(self) -> None:
+        """Though its first answers are late, requests are sent all the time."""
+        with watched_agent() as (harness, _):
+            other = Agent()
+            other.failure = FAILURES["silent"]
+            self.move(harness, other)
+            self.serve(harness, other, 2500)
+            other.failure = None
+            self.assertTrue(self.serve(harness, other, 1400)[1])
+            for _ in range(6):
+                self.assertTrue(self.serve(harness, other, 1000)[1])
+            other.close()
+
+    def test_a_connection_that_comes_up_after_the_list_has_become_void_is_not_used(self) -> None:
+        """The attempt was decided before, but its first byte would be written after that."""
+        with watched_agent(limits={"connect_timeout": 1500.0}) as (harness, _):
+            other = Agent()
+            other.failure = FAILURES["silent"]
+            self.move(harness, other)
+            run_agent(harness, other, ms=3900)
+            harness.hold_back(leads_to_worker)
+            harness.client().send(job_request("time-lookup", "late", wait=7000))
+            run_agent(harness, other, ms=700)
+            harness.release_held()
+            run_agent(harness, other, ms=500)
+            self.assertEqual(harness.begun(), [])
+            other.close()
+
+
 class OutdatedLists(unittest.TestCase):
     """Answers with a generation below one that was received before."""
 
