--- a/review/second/standins.py
+++ b/review/second/standins.py
@@ -168,6 +168,7 @@
     def __init__(self, record: Record, generation: int = 40) -> None:
         super().__init__()
         self.record, self.generation, self.delay_s = record, generation, 0.0
+        self.silent = False  # calls that come while it is are answered when it is no longer
         self.entries: dict[str, dict[str, Any]] = {}
         self.changes: list[tuple[int, dict[str, Any]]] = []
         self.changed = asyncio.Condition()
@@ -198,9 +199,7 @@
     ) -> None:
         """Answer a call: the whole list, or the changes after a generation once there are some."""
         self.calls += 1
-        query = dict(
-            pair.split("=") for pair in message[0][1].partition("?")[2].split("&") if "=" in pair
-        )
+        query = dict(pair.split("=") for pair in message[0][1].partition("?")[2].split("&") if "=" in pair)
         after, wait_s = int(query.get("after", -1)), int(query.get("wait_ms", 0)) / 1000.0
         async with self.changed:
             with contextlib.suppress(TimeoutError):
@@ -216,6 +215,8 @@
             answer = {"generation": self.generation, "reset": whole, "instances": rows}
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
+        while self.silent and not writer.is_closing():
+            await asyncio.sleep(0.02)
         states = [f"{row['instanceId']}={row['lifecycle']}" for row in rows]
         if writer.is_closing():
             return
