--- a/review/second/standins.py
+++ b/review/second/standins.py
@@ -437,7 +437,15 @@
 
 
 # The published binary protocol of Gearman, as far as a client needs it.
-SUBMIT_JOB, JOB_CREATED, WORK_STATUS, WORK_COMPLETE, WORK_FAIL, ERROR = 7, 8, 12, 13, 14, 19
+SUBMIT_JOB, JOB_CREATED, WORK_STATUS, WORK_COMPLETE, WORK_FAIL, SUBMIT_JOB_BG, ERROR = (
+    7,
+    8,
+    12,
+    13,
+    14,
+    18,
+    19,
+)
 
 
 class GearmanClient:
@@ -453,11 +461,12 @@
         host, _, port = self.address.rpartition(":")
         self.reader, self.writer = await asyncio.open_connection(host, int(port), limit=1 << 18)
 
-    def submit(self, function: str, unique: str, body: bytes) -> None:
-        """Submit a foreground job."""
+    def submit(self, function: str, unique: str, body: bytes, background: bool = False) -> None:
+        """Submit a job."""
         assert self.writer is not None
+        kind = SUBMIT_JOB_BG if background else SUBMIT_JOB
         data = b"\0".join([function.encode(), unique.encode(), body])
-        self.writer.write(b"\0REQ" + struct.pack(">II", SUBMIT_JOB, len(data)) + data)
+        self.writer.write(b"\0REQ" + struct.pack(">II", kind, len(data)) + data)
 
     async def packet(self) -> tuple[int, bytes]:
         """The next packet: its type and data."""
