--- a/review/second/standins.py
+++ b/review/second/standins.py
@@ -14,6 +14,7 @@
 import random
 import shutil
 import signal
+import socket
 import struct
 import subprocess
 import sys
@@ -331,15 +332,16 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.statuses: dict[int, int] = {}
 
-    async def send(self, cls: str) -> None:
-        """Send one job and record its answer."""
+    async def send(self, cls: str, hint: bool = True) -> None:
+        """Send one job, with a guess at its work or without, and record its answer."""
         request_id = f"{next(self.numbers):06x}{self.random.getrandbits(40):010x}"
         cost = self.random.uniform(*WORK_MS[cls])
         wait_ms = 7500 if cls == "time-lookup" else 25000
         self.record.add(f"client sends {cls} {request_id}")
+        more = {"Req_Cost": str(int(cost * 1000))} if hint else {}
         status, _, _ = await call(
             self.address, "POST", f"/{cls}/x", b"{}", wait_ms / 1000.0 + 1.0,
-            Req_Id=request_id, Req_Deadline_Ms=str(wait_ms), Req_Cost=str(int(cost * 1000)),
+            Req_Id=request_id, Req_Deadline_Ms=str(wait_ms), **more,
         )  # fmt: skip
         self.statuses[status] = self.statuses.get(status, 0) + 1
         self.record.add(f"client gets {status} for {request_id}")
@@ -357,15 +359,30 @@
             due += 1.0 / per_s
 
 
+class Inherited:
+    """The listening socket that the platform holds, and the folder that all processes share."""
+
+    def __init__(self) -> None:
+        self.sock = socket.socket()
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen(128)
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        self.folder = Path(tempfile.mkdtemp(prefix="review-"))
+
+    def close(self) -> None:
+        """Close the socket, and remove the folder."""
+        self.sock.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+
 class Dispatcher:
     """The program under test, started by the deploy file's `run` line."""
 
     def __init__(self, record: Record, discovery: Discovery, fronts: dict[str, Any] | None = None,
-                 **config: Any) -> None:  # fmt: skip
+                 inherits: Inherited | None = None, **config: Any) -> None:  # fmt: skip
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
-        self.port = free_port()
-        self.address = f"127.0.0.1:{self.port}"
+        self.address = inherits.address if inherits is not None else f"127.0.0.1:{free_port()}"
         self.said: dict[str, Any] = {
             "name": "n1", "listen": self.address, "discovery": discovery.address, "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings(), **config,
@@ -379,10 +396,14 @@
                "EIDERPIN_LOG_FORMAT": "logfmt"}  # fmt: skip
         if fronts is not None:
             env["EIDERPIN_FRONTS"] = str(self.folder / "fronts.json")
+        pass_fds: tuple[int, ...] = ()
+        if inherits is not None:
+            env |= {"GW_FD": str(inherits.sock.fileno()), "TMPDIR": str(inherits.folder)}
+            pass_fds = (inherits.sock.fileno(),)
         self.log = (self.folder / "log.txt").open("wb")
         self.process = subprocess.Popen(
             ["/bin/sh", "-c", run], cwd=ROOT, env=env, stdout=self.log, stderr=self.log,
-            start_new_session=True,
+            start_new_session=True, pass_fds=pass_fds,
         )  # fmt: skip
 
     def write_config(self) -> None:
@@ -410,6 +431,27 @@
             await asyncio.sleep(0.05)
         raise RuntimeError("the dispatcher does not get ready: " + self.log_text()[-500:])
 
+    async def wait_says_yes(self, within_s: float = 6.0) -> None:
+        """Wait until the management call `ready` says yes. Raises `RuntimeError`."""
+        host, _, port = str(self.said["management"]).rpartition(":")
+        end = time.monotonic() + within_s
+        while time.monotonic() < end:
+            with contextlib.suppress(OSError):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(b"ready\n")
+                line = await reader.readline()
+                writer.close()
+                if line.startswith(b"ok"):
+                    self.record.add(f"process {self.process.pid} says yes: {line!r}")
+                    return
+            await asyncio.sleep(0.02)
+        raise RuntimeError("the new process does not say yes: " + self.log_text()[-500:])
+
+    def terminate(self) -> None:
+        """Send SIGTERM."""
+        self.record.add(f"platform: SIGTERM to {self.process.pid}")
+        self.process.send_signal(signal.SIGTERM)
+
     def log_text(self) -> str:
         """What it has logged."""
         return (self.folder / "log.txt").read_text(errors="replace")
@@ -429,8 +471,6 @@
 
 def free_port() -> int:
     """A port of the loopback address that is free now."""
-    import socket
-
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
         return int(sock.getsockname()[1])
