Review: a script that fails by itself is not taken for a broken rule

Cause: an exception at a script's start ended it with 1, the code of a broken rule; ports came from the range of outgoing connections, and one of the first runs ended with "Address already in use".

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,3 +1,9 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no disruption.
-cd "$(dirname "$0")/../.." && exec .venv/bin/python review/7/case.py
+cd "$(dirname "$0")/../.." || exit 2
+.venv/bin/python review/7/case.py
+case $? in
+0) exit 0 ;;
+3) exit 1 ;;
+*) exit 2 ;;
+esac
--- a/review/second/standins.py
+++ b/review/second/standins.py
@@ -17,7 +17,6 @@
 import socket
 import struct
 import subprocess
-import sys
 import tempfile
 import time
 import tomllib
@@ -31,6 +30,7 @@
 WORK_MS = {"time-lookup": (400.0, 770.0), "result-post": (1600.0, 3100.0)}
 DRAIN_GRACE_MS = 550.0  # 500 ms, and the 50 ms that every time limit is longer on sockets
 TOLD_AT_THE_LATEST_MS = 6000.0
+BROKEN_STATUS = 3  # a rule was broken; `run.sh` makes 1 of it, and 2 of whatever else went wrong
 
 
 class Broken(Exception):
@@ -470,10 +470,14 @@
 
 
 def free_port() -> int:
-    """A port of the loopback address that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """A port of the loopback address that is free now, below those that the system gives to connections."""
+    choose = random.SystemRandom()
+    for _ in range(100):
+        port = choose.randrange(12000, 30000)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
+    raise RuntimeError("no free port is found")
 
 
 # The published binary protocol of Gearman, as far as a client needs it.
@@ -529,19 +533,19 @@
 
 
 def main(folder: str, play: Callable[[Record, bool], Awaitable[None]]) -> None:
-    """Run a case: exit with 1 if it raises `Broken`, 0 if the rule held, 2 if it could not run."""
+    """Run a case; the exit is BROKEN_STATUS for `Broken`, 0 if the rule held, 2 if it could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(Path(folder))
     record.add(f"trouble: {'yes' if trouble else 'no'}")
     try:
         asyncio.run(asyncio.wait_for(play(record, trouble), 112.0))
     except Broken as error:
-        status, text = 1, f"broken: {error}"
+        status, text = BROKEN_STATUS, f"broken: {error}"
     except BaseException as error:  # whatever else goes wrong, the case could not run
         status, text = 2, f"could not run: {type(error).__name__}: {error}"
     else:
         status, text = 0, "held"
     record.add(text)
-    print(text)
-    sys.stdout.flush()
+    with contextlib.suppress(OSError):
+        print(text, flush=True)
     os._exit(status)
