Count and log why answers are no longer retained

Each drop is counted now (`retained.dropped.time`, `.count`, `.bytes` on SIGUSR1) and logged at debug level with the id, the reason, the bytes and answers that are retained, and the time that was left. No behaviour has changed.

--- a/eiderpin/core/retained_answers.py
+++ b/eiderpin/core/retained_answers.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+import logging
+from collections import Counter, OrderedDict
 from dataclasses import dataclass
+from enum import Enum
 
 from eiderpin.core.requests import Answer
 
+logger = logging.getLogger("eiderpin")
+
 RETENTION_MS = 60_000.0
 # Further limits of what is retained; past them the oldest answers go first, those of repeatable jobs before
 # all others.
@@ -16,6 +20,14 @@
 JobKey = tuple[str, str]  # class, and the id that the client gave the job
 
 
+class DropReason(Enum):
+    """Why an answer is no longer retained; counted as `retained.dropped.REASON`."""
+
+    TIME = "time"  # it was retained for as long as was promised
+    COUNT = "count"  # there were too many
+    BYTES = "bytes"  # ids and results took too much memory
+
+
 @dataclass(slots=True, frozen=True)
 class RetainedAnswer:
     """The answer to a request that has ended."""
@@ -30,6 +42,7 @@
 
     def __init__(self) -> None:
         self.max_bytes = MAX_RETAINED_BYTES  # of ids and results
+        self.drops: Counter[DropReason] = Counter()
         self._repeatable: OrderedDict[JobKey, RetainedAnswer] = OrderedDict()
         self._run_once: OrderedDict[JobKey, RetainedAnswer] = OrderedDict()  # must not run a second time
         self._bytes = self._result_bytes = 0
@@ -67,12 +80,30 @@
         """Drop the oldest answers whose time is over, or that are beyond the limits."""
         while answers:
             oldest = next(iter(answers))
-            if answers[oldest].until > now and self._is_within_limits():
+            reason = self._drop_reason(answers[oldest], now)
+            if reason is None:
                 return
+            self._note_drop(oldest, answers[oldest], reason, now)
             self._remove(oldest)
 
-    def _is_within_limits(self) -> bool:
-        return len(self) <= MAX_RETAINED_ANSWERS and self._bytes <= self.max_bytes
+    def _drop_reason(self, retained: RetainedAnswer, now: float) -> DropReason | None:
+        """Return why the oldest answer has to go, or None if it may stay."""
+        if retained.until <= now:
+            return DropReason.TIME
+        if len(self) > MAX_RETAINED_ANSWERS:
+            return DropReason.COUNT
+        return DropReason.BYTES if self._bytes > self.max_bytes else None
+
+    def _note_drop(self, job: JobKey, retained: RetainedAnswer, reason: DropReason, now: float) -> None:
+        """Count and log that an answer is dropped."""
+        self.drops[reason] += 1
+        if logger.isEnabledFor(logging.DEBUG):
+            fields = {
+                "class": job[0], "request": job[1], "reason": reason.value, "bytes": self._bytes,
+                "answers": len(self), "ms_left": round(retained.until - now),
+                "must_not_rerun": job in self._run_once,
+            }  # fmt: skip
+            logger.debug("an answer is no longer retained", extra=fields)
 
     def _remove(self, job: JobKey) -> None:
         """Remove what is retained of a job, if anything is."""
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -566,6 +566,8 @@
             self.counters.counts["discovery.held_back"] = len(self.core.module.list_validity.held_back)
         self.counters.counts["memory.held_bytes"] = self.memory.held_bytes
         self.counters.counts["memory.dropped"] = self.memory.drops
+        for reason, count in self.core.retained.drops.items():
+            self.counters.counts[f"retained.dropped.{reason.value}"] = count
         lines = ["counters", *self.counters.lines(), "end of counters"]
         for line in lines:
             if self.log_stream is not None:
