Do not confirm a Gearman background job for which there is no room

Callers of background jobs got JOB_CREATED and never a run, where the table of requests was full: the request was rejected at once, a background job has no client that waits, so nobody was told.

Cause: `GearmanConnection.submit` confirmed whatever `Dispatcher.submit` returned; only a lack of memory in the front itself, and a durable job that its disk did not take, were looked at before. A request that is rejected before anything is kept of it now says so (`not_accepted`), and its background job gets the ERROR `NO_ROOM`, as with a lack of memory. Clients that wait get JOB_CREATED and WORK_FAIL as before.

Evidence: with a table of one request the second submission, in the background, got JOB_CREATED; the test failed so before. Ruled out: the front's own memory limit, whose ERROR was sent already.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -158,6 +158,7 @@
         try:
             request.id = self.requests.add(request)
         except TableFull:
+            request.not_accepted = True
             self._finish(request, self.rejection(math.inf), EndReason.NO_ROOM)
             return request
         self.outstanding += 1
--- a/eiderpin/core/requests.py
+++ b/eiderpin/core/requests.py
@@ -79,6 +79,7 @@
     waiters: list[ResponseSink] = field(default_factory=list)
     attempts: list[Attempt] = field(default_factory=list)  # all attempts, by number
     ended: bool = False
+    not_accepted: bool = False  # it was rejected for lack of room before anything was kept of it
     cut_short: bool = False  # the shutdown made the deadline earlier than the client's
     share: float = 0.0  # share that is done (0 to 1), as last reported
     idempotency_key: str | None = None  # passed to workers unchanged, with every attempt
--- a/eiderpin/net/gearman_connection.py
+++ b/eiderpin/net/gearman_connection.py
@@ -334,6 +334,8 @@
             self.core.job_manager.when_durable(
                 joined, self.defer_reply(lambda: self.send_packet(Kind.JOB_CREATED, handle))
             )
+        elif request.not_accepted:
+            self.reply_in_order(self.send_no_room)
         elif self.core.is_durable(cls) and not joined.job and request is joined:
             self.reply_in_order(self.send_not_taken)
         else:
@@ -344,7 +346,7 @@
         self.core.counters.add("in.over_memory")
         self.core.count_answer(cls, Verdict.REJECTED)
         if background:
-            self.reply_in_order(lambda: self.send_error("NO_ROOM", "no memory for the job: come back later"))
+            self.reply_in_order(self.send_no_room)
             return
         handle, answer = self.front.next_spare_handle(), self.core.rejection()
         rejected = Request(cls, "", b"", b"", 0.0)
@@ -352,6 +354,10 @@
         submission.early_answer = answer
         self.reply_in_order(lambda: submission.confirm(rejected, handle))
 
+    def send_no_room(self) -> None:
+        """Reply that a background job was not accepted for lack of memory."""
+        self.send_error("NO_ROOM", "no memory for the job: come back later")
+
     def send_not_taken(self) -> None:
         """Reply that a durable job could not be accepted, since it could not be written to disk."""
         self.send_error("NOT_TAKEN", "the disk of durable jobs takes nothing now: come back later")
--- a/tests/test_gearman_limits.py
+++ b/tests/test_gearman_limits.py
@@ -4,6 +4,7 @@
 
 import contextlib
 
+from eiderpin.core.slot_table import SlotTable
 from eiderpin.net import gearman_connection, gearman_front
 from eiderpin.net.gearman import RESPONSE, Kind, Packet, Reader, pack
 from eiderpin.net.gearman_jobs import JOBS_SHARE
@@ -58,6 +59,23 @@
         assert harness.service.memory.held_bytes == 0
 
 
+def test_a_background_job_that_finds_no_room_among_the_requests_is_not_confirmed() -> None:
+    """It got JOB_CREATED and was rejected, which nobody was told: the job was lost."""
+    with running_harness(workers=0, gearman=True) as harness:
+        harness.core.requests = SlotTable(1)
+        client = harness.client("gearman")
+        received: list[Kind] = []
+
+        def is_answered() -> bool:
+            received.extend(kinds(client))
+            return len(received) == 4
+
+        for number, kind in enumerate((Kind.SUBMIT_JOB, Kind.SUBMIT_JOB_BG, Kind.SUBMIT_JOB)):
+            client.send(submit(kind, b"j%d" % number, b""))
+        harness.run_until(is_answered, "the replies")
+        assert received == [Kind.JOB_CREATED, Kind.ERROR, Kind.JOB_CREATED, Kind.WORK_FAIL]
+
+
 def test_a_flood_of_packets_is_handled_in_many_turns() -> None:
     """Thousands of packets were handled in one turn, and all others waited for that."""
     with running_harness(gearman=True) as harness:
