Remember the id of a post that must not run twice though its result is dropped

Cause: what keeps an ended job from running again was the entry of its retained answer, and that entry was dropped whole when answers were too many (8,192) or too large (1/16 of the memory limit). Results of HTTP clients, who never ask by the same id again, took the room as well.

Ruled out: a record that was never made (lookups find it until the drop), another key (the same class and id), the age, the number.

Why the fix works: ids of jobs that must not run again are kept apart from answers (`core/run_once_ids.py`) and leave only when their time is over. Answers give way to them: first those of ids that belong to one request, then of jobs that may run again, then of results that a client waited for, last of those that nobody got. Without its answer such a job counts as failed. Where even the ids fill 1/16 of the memory limit, a new job of such a class is rejected before it runs (`policy/run_once_records.py`); ids of open jobs are counted ahead.

Told: `in.no_record_room`, `in.kept_failed`, `retained.ids`, `.id_bytes`, `.result_bytes` on SIGUSR1, and two warnings, at most each 5 s. Events of limits are logged by one class now. On the link of an upgrade, times stay within the minute that messages may tell.

The test of long ids (`test_used_ids.py`) asked that ids that must not run again be dropped; it now measures the memory that is taken, and that none of them is dropped. The one of the minute allows the 5 s by which ids are grouped.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -31,9 +31,11 @@
     Verdict,
     WorkerLink,
 )
-from eiderpin.core.retained_answers import RETENTION_MS, JobKey, RetainedAnswer, RetainedAnswers
+from eiderpin.core.retained_answers import RetainedAnswer, RetainedAnswers
+from eiderpin.core.run_once_ids import JobKey, id_bytes
 from eiderpin.core.shutdown import MAX_STALL_MS
 from eiderpin.core.slot_table import SlotTable, TableFull
+from eiderpin.policy import run_once_records
 
 if TYPE_CHECKING:
     from eiderpin.core.peer_jobs import PeerJobs
@@ -88,6 +90,7 @@
         # Where no front has clients that resubmit, only the ids of jobs are retained and not their results.
         self.keeps_results = True
         self.retained = RetainedAnswers()
+        self._open_record_bytes = 0  # that the ids of open jobs will need once these have ended
         self._last_wire_number = 0
         self.peer_jobs: PeerJobs | None = None  # None: no other process can run beside this one
         self.job_manager: DurableJobManager | None = None  # None: no class of jobs is durable
@@ -144,7 +147,7 @@
                 open_request.background = open_request.background or request.background
                 return open_request
             if retained is not None:
-                self.counters.add("in.kept")
+                self._note_resubmission(request, retained)
                 request.ended = True
                 if waiter is not None and job_manager is not None:
                     job_manager.deliver_stored_answer(
@@ -155,6 +158,12 @@
                 return request
         if waiter is not None:
             request.waiters.append(waiter)
+        if job_manager is None and not self._has_room_for_record(request, now):
+            request.not_accepted = True
+            self.counters.add("in.no_record_room")
+            wait = self.retained.ids.next_expiry_at() - now
+            self._finish(request, self.rejection(wait), EndReason.NO_RECORD_ROOM)
+            return request
         try:
             request.id = self.requests.add(request)
         except TableFull:
@@ -169,12 +178,56 @@
             if not job_manager.accept(request):
                 self._reject_not_durable(request)
                 return request
-        if request.unique:
-            self._by_unique[job_key] = request
+        self._register_unique(request)
         if job_manager is not None or self.peer_jobs is None or not self.peer_jobs.claim(request):
             self.begin(request)
         return request
 
+    # -- records of jobs that must not run again
+
+    def must_not_rerun(self, cls: str) -> bool:
+        """Return whether a job of this class must not run again once it may have run."""
+        request_class = self.classes.get(cls)
+        return request_class is not None and run_once_records.must_not_rerun(request_class)
+
+    def _note_resubmission(self, request: Request, retained: RetainedAnswer) -> None:
+        """Note that a job was submitted again after its end."""
+        self.counters.add("in.kept")
+        if retained.answer.verdict is not Verdict.SERVED:
+            self.counters.add("in.kept_failed")
+            request_log.request_event("submitted again, and not run again", request, logging.INFO)
+
+    def _has_room_for_record(self, request: Request, now: float) -> bool:
+        """Return whether the record of a new request can be retained once that has ended."""
+        needed = self._record_bytes_of(request)
+        if not needed or request.is_relay:
+            return True
+        self.retained.ids.expire(now)
+        held = self.retained.ids.size_bytes + self._open_record_bytes
+        return run_once_records.may_accept_run_once(held, needed, self.retained.max_bytes)
+
+    def _record_bytes_of(self, request: Request) -> int:
+        """Return the memory that the record of a request will take; 0 if there will be none here."""
+        if not request.unique or request.job or not self.must_not_rerun(request.cls):
+            return 0
+        return id_bytes((request.cls, request.unique))
+
+    def _register_unique(self, request: Request) -> None:
+        """Let resubmissions find an open request, if its client gave it an id."""
+        if request.unique and self._by_unique.get((request.cls, request.unique)) is not request:
+            self._by_unique[request.cls, request.unique] = request
+            self._open_record_bytes += self._record_bytes_of(request)
+
+    def _forget_unique(self, request: Request) -> bool:
+        """Let resubmissions no longer find a request; return whether they did."""
+        if not request.unique or self._by_unique.get((request.cls, request.unique)) is not request:
+            return False
+        del self._by_unique[request.cls, request.unique]
+        self._open_record_bytes -= self._record_bytes_of(request)
+        return True
+
+    # -- how a request begins
+
     def _is_id_used_elsewhere(self, request: Request, open_request: Request | None) -> bool:
         """Return whether a request of another class, or of a peer process, has this request's id."""
         if open_request is None and request.unique in self._by_wire_id:
@@ -589,7 +642,7 @@
         self._drop_attempts(request)
         if not request.waits_for_peer:  # else it was counted when it began to wait
             self.counters.add("out.requests_moved")
-        self._by_unique.pop((request.cls, request.unique), None)
+        self._forget_unique(request)
         self._free_slot(request)
 
     def take_over(self, request: Request, waiter: ResponseSink | None) -> None:
@@ -613,8 +666,7 @@
         if not request.job:  # a durable job continues after the end of the process
             self._bound_deadline(request)
         request.backstop = self._start_backstop(request)
-        if request.unique:
-            self._by_unique[job_key] = request
+        self._register_unique(request)
         self._by_wire_id[request.wire_id] = request
         for attempt in request.attempts:
             if not attempt.ended:
@@ -643,10 +695,10 @@
             self._events.append(api.RequestGone(request.id))
             self._finish(request, Answer(Verdict.SERVED, result), EndReason.LATE_RESULT)
             return
-        retained = self.retained.find((request.cls, request.unique))
+        retained = self.retained.get((request.cls, request.unique), self.clock.now())
         if request.unique and retained is not None and retained.answer == FAILED:
             # The request has been answered as failed, but a resubmission can still get the result.
-            self._retain(request, Answer(Verdict.SERVED, result))
+            self._retain(request, Answer(Verdict.SERVED, result), is_delivered=False)
 
     # -- the decision module
 
@@ -825,12 +877,10 @@
 
     def _deliver(self, request: Request, answer: Answer) -> None:
         """Give the final answer to all waiting clients, and retain it for resubmissions."""
-        if request.unique and self._by_unique.get((request.cls, request.unique)) is request:
-            del self._by_unique[request.cls, request.unique]
-            if not request.job:
-                self._retain(request, answer)
-                if self.peer_jobs is not None:
-                    self.peer_jobs.note_end(request)
+        if self._forget_unique(request) and not request.job:
+            self._retain(request, answer, bool(request.waiters))
+            if self.peer_jobs is not None:
+                self.peer_jobs.note_end(request)
         waiters, request.waiters = request.waiters, []
         for waiter in waiters:
             waiter.answer(request, answer)
@@ -853,18 +903,21 @@
         if self._by_wire_id.get(request.wire_id) is request:
             del self._by_wire_id[request.wire_id]
 
-    def _retain(self, request: Request, answer: Answer) -> None:
+    def _retain(self, request: Request, answer: Answer, is_delivered: bool = True) -> None:
         """Retain the answer for resubmissions, where it matters to them.
 
-        That is a result, or the failure of a job that may have run and must not run again.
+        That is a result, or the failure of a job that may have run and must not run again. `is_delivered`: a
+        client waited for it.
         """
-        must_not_rerun = self.classes[request.cls].repeat is not api.Repeat.FREE
+        must_not_rerun = self.must_not_rerun(request.cls)
         if answer.verdict is Verdict.SERVED or (must_not_rerun and request.may_have_run()):
             if answer.verdict is not Verdict.SERVED or not self.keeps_results:
                 answer = FAILED
             now = self.clock.now()
-            retained = RetainedAnswer(answer, now + RETENTION_MS, request.single_use_id)
-            self.retained.add((request.cls, request.unique), retained, now, must_not_rerun)
+            until = now + run_once_records.RETENTION_MS
+            retained = RetainedAnswer(answer, until, request.single_use_id)
+            job = (request.cls, request.unique)
+            self.retained.add(job, retained, now, must_not_rerun, is_delivered)
 
 
 def _ignore_request(request: Request) -> None:
--- a/eiderpin/core/peer_jobs.py
+++ b/eiderpin/core/peer_jobs.py
@@ -18,10 +18,11 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
-from eiderpin import interface as api
 from eiderpin.core import request_log
-from eiderpin.core.requests import FAILED, Answer, Request, ResponseSink
-from eiderpin.core.retained_answers import MAX_RETAINED_ANSWERS, RETENTION_MS, JobKey, RetainedAnswer
+from eiderpin.core.requests import FAILED, Answer, Request, ResponseSink, Verdict
+from eiderpin.core.retained_answers import MAX_RETAINED_ANSWERS, RetainedAnswer
+from eiderpin.core.run_once_ids import JobKey
+from eiderpin.policy.run_once_records import RETENTION_MS
 
 if TYPE_CHECKING:
     from eiderpin.core.dispatcher import Dispatcher
@@ -168,7 +169,7 @@
             jobs = [*self._own_jobs(), *(job for other in self._peers for job in self._jobs_left(other))]
             peer.channel.tell_jobs(jobs)
             if self.core.keeps_results:
-                peer.uncopied.extend(self.core.retained.jobs())
+                peer.uncopied.extend(self.core.retained.jobs_with_answers())
         if peer.takes_used_ids:
             peer.channel.tell_used_ids(self._own_used_ids())
         self._peers.append(peer)
@@ -178,10 +179,8 @@
         now = self.core.clock.now()
         used = [
             (job, retained.until - now)
-            for job in self.core.retained.jobs()
-            if (retained := self.core.retained.get(job, now)) is not None
-            and retained.single_use_id
-            and self._must_not_rerun(job)
+            for job, retained in self.core.retained.items(now)
+            if retained.single_use_id and self._must_not_rerun(job)
         ]
         used += [
             (job_of(r), math.inf) for r in self.core.requests.all() if self._has_used_id(r) and not r.ended
@@ -217,9 +216,8 @@
     def _own_jobs(self) -> Iterator[tuple[JobKey, float]]:
         """Return our jobs that must not begin elsewhere, as `PeerChannel.tell_jobs` wants them."""
         now = self.core.clock.now()
-        for job in self.core.retained.jobs():
-            retained = self.core.retained.get(job, now)
-            if retained is not None and not retained.single_use_id:
+        for job, retained in self.core.retained.items(now):
+            if not retained.single_use_id:
                 yield job, retained.until - now
         for request in self.core.requests.all():
             if request.is_resubmittable and not request.ended and not request.job:
@@ -286,8 +284,7 @@
 
     def _must_not_rerun(self, job: JobKey) -> bool:
         """Return whether a job of this class must not run again once it may have run."""
-        spec = self.core.classes.get(job[0])
-        return spec is not None and spec.repeat is not api.Repeat.FREE
+        return self.core.must_not_rerun(job[0])
 
     def _holder_of(self, job: JobKey, other_than: Peer | None = None) -> Peer | None:
         """Return the peer that has the job, or None."""
@@ -477,7 +474,7 @@
         for peer in self._peers:
             if request.is_resubmittable and peer.takes_claims:
                 peer.channel.release(job, is_retained)
-            if is_retained and self.core.keeps_results:
+            if retained is not None and retained.answer.verdict is Verdict.SERVED and self.core.keeps_results:
                 peer.uncopied.append(job)
 
     def answers_to_copy(self, peer: Peer, max_bytes: int) -> Iterator[tuple[JobKey, RetainedAnswer]]:
@@ -486,7 +483,7 @@
         while peer.uncopied and max_bytes > 0:
             job = peer.uncopied.popleft()
             retained = self.core.retained.get(job, now)
-            if retained is not None:
+            if retained is not None and retained.answer.verdict is Verdict.SERVED:
                 max_bytes -= len(retained.answer.result)
                 yield job, retained
 
@@ -494,7 +491,9 @@
         """Retain answers of a peer here, too."""
         for job, retained in answers:
             peer.jobs.remove(job)
-            self.core.retained.add(job, retained, self.core.clock.now(), self._must_not_rerun(job))
+            self.core.retained.add(
+                job, retained, self.core.clock.now(), self._must_not_rerun(job), is_delivered=False
+            )
             request = self.core.open_request(job)
             claim = self._claims_by_request.get(request) if request is not None else None
             if claim is not None:
--- a/eiderpin/core/request_log.py
+++ b/eiderpin/core/request_log.py
@@ -26,6 +26,7 @@
     AT_PEER = "at_peer"  # a peer process had the job
     OVERDUE_AT_PEER = "overdue_at_peer"  # no answer of the peer process came by its deadline
     NO_ROOM = "no_room"  # the table of requests is full
+    NO_RECORD_ROOM = "no_record_room"  # there is no memory for the record that it must not run again
     NOT_DURABLE = "not_durable"  # it could not be stored as a durable job
 
 
--- a/eiderpin/core/retained_answers.py
+++ b/eiderpin/core/retained_answers.py
@@ -1,23 +1,29 @@
-"""Answers that are retained for a while after their request has ended, for resubmissions of the same job."""
+"""What is retained of ended requests for resubmissions of the same job.
+
+Of a job that must not run again the id is retained until its time is over, whatever else there is to retain.
+Its result, and all that is retained of jobs that may run again, is dropped earlier where there is too much of
+it. A resubmission of a job whose id is retained without its result is told that the job has failed. See
+`docs/design/run_once_records.md`.
+"""
 
 from __future__ import annotations
 
 import logging
 from collections import Counter, OrderedDict
+from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
 
-from eiderpin.core.requests import Answer
+from eiderpin.core.requests import FAILED, Answer, Verdict
+from eiderpin.core.run_once_ids import JobKey, RunOnceIds, stored_key
+from eiderpin.policy.run_once_records import ResultPriority, result_priority
 
 logger = logging.getLogger("eiderpin")
 
-RETENTION_MS = 60_000.0
-# Further limits of what is retained; past them the oldest answers go first, those of repeatable jobs before
-# all others.
+# Further limits of answers, which do not hold for the ids of jobs that must not run again.
 MAX_RETAINED_ANSWERS = 8192
 MAX_RETAINED_BYTES = 16 * 1024 * 1024
-
-JobKey = tuple[str, str]  # class, and the id that the client gave the job
+ANSWER_OVERHEAD_BYTES = 512  # of memory for an answer beside its result
 
 
 class DropReason(Enum):
@@ -25,7 +31,7 @@
 
     TIME = "time"  # it was retained for as long as was promised
     COUNT = "count"  # there were too many
-    BYTES = "bytes"  # ids and results took too much memory
+    BYTES = "bytes"  # ids and answers took too much memory
 
 
 @dataclass(slots=True, frozen=True)
@@ -38,17 +44,22 @@
 
 
 class RetainedAnswers:
-    """Retained answers by job, oldest first."""
+    """Retained answers, and ids of jobs that must not run again, by job."""
 
     def __init__(self) -> None:
-        self.max_bytes = MAX_RETAINED_BYTES  # of ids and results
+        """Begin without any."""
+        self.max_bytes = MAX_RETAINED_BYTES  # of ids and answers
         self.drops: Counter[DropReason] = Counter()
-        self._repeatable: OrderedDict[JobKey, RetainedAnswer] = OrderedDict()
-        self._run_once: OrderedDict[JobKey, RetainedAnswer] = OrderedDict()  # must not run a second time
-        self._bytes = self._result_bytes = 0
+        self.drops_of_run_once = 0  # answers of jobs that must not run again, dropped before their time
+        self.ids = RunOnceIds()
+        self._answers: dict[ResultPriority, OrderedDict[JobKey, RetainedAnswer]] = {
+            priority: OrderedDict() for priority in ResultPriority
+        }
+        self._answer_bytes = self._result_bytes = 0
 
     def __len__(self) -> int:
-        return len(self._repeatable) + len(self._run_once)
+        """Return the number of answers."""
+        return sum(len(answers) for answers in self._answers.values())
 
     @property
     def size(self) -> int:
@@ -56,35 +67,71 @@
         return self._result_bytes
 
     def get(self, job: JobKey, now: float) -> RetainedAnswer | None:
-        """Return what is retained of a job, or None if there is nothing or its time is over."""
-        retained = self.find(job)
-        return retained if retained is not None and retained.until > now else None
-
-    def find(self, job: JobKey) -> RetainedAnswer | None:
-        """Return what was retained of a job and has not been dropped, even if its time is over."""
-        return self._run_once.get(job) or self._repeatable.get(job)
-
-    def jobs(self) -> list[JobKey]:
-        """Return the jobs of which something is retained, those that must not run again last."""
-        return [*self._repeatable, *self._run_once]
-
-    def add(self, job: JobKey, retained: RetainedAnswer, now: float, must_not_rerun: bool) -> None:
-        """Retain an answer in place of any earlier one of the job, and drop what is beyond the limits."""
-        self._remove(job)
-        (self._run_once if must_not_rerun else self._repeatable)[job] = retained
-        self._count(job, retained, 1)
-        for answers in (self._repeatable, self._run_once):
-            self._drop_oldest(answers, now)
-
-    def _drop_oldest(self, answers: OrderedDict[JobKey, RetainedAnswer], now: float) -> None:
-        """Drop the oldest answers whose time is over, or that are beyond the limits."""
-        while answers:
-            oldest = next(iter(answers))
-            reason = self._drop_reason(answers[oldest], now)
-            if reason is None:
-                return
-            self._note_drop(oldest, answers[oldest], reason, now)
-            self._remove(oldest)
+        """Return what is retained of a job, or None if there is nothing or its time is over.
+
+        Without its answer, a job that must not run again counts as failed.
+        """
+        job = stored_key(job)
+        retained = self._answer_of(job)
+        if retained is not None and retained.until > now:
+            return retained
+        group = self.ids.find(job, now)
+        return RetainedAnswer(FAILED, group.until, group.single_use_id) if group is not None else None
+
+    def _answer_of(self, job: JobKey) -> RetainedAnswer | None:
+        """Return the answer to a job, by its stored key, even if its time is over."""
+        for answers in self._answers.values():
+            retained = answers.get(job)
+            if retained is not None:
+                return retained
+        return None
+
+    def items(self, now: float) -> Iterator[tuple[JobKey, RetainedAnswer]]:
+        """Return all jobs of which something is retained, each with that."""
+        for answers in self._answers.values():
+            yield from ((job, retained) for job, retained in answers.items() if retained.until > now)
+        for job, group in self.ids.items(now):
+            answer = self._answer_of(job)
+            if answer is None or answer.until <= now:
+                yield job, RetainedAnswer(FAILED, group.until, group.single_use_id)
+
+    def jobs_with_answers(self) -> list[JobKey]:
+        """Return the jobs whose answers are retained, those that may be needed most last."""
+        return [job for answers in self._answers.values() for job in answers]
+
+    def add(
+        self,
+        job: JobKey,
+        retained: RetainedAnswer,
+        now: float,
+        must_not_rerun: bool,
+        is_delivered: bool = True,
+    ) -> None:
+        """Retain an answer in place of any earlier one of the job, and drop what is beyond the limits.
+
+        `is_delivered`: a client waited for it.
+        """
+        job = stored_key(job)
+        self._remove_answer(job)
+        if must_not_rerun:
+            self.ids.add(job, retained.until, retained.single_use_id)
+        if retained.answer.verdict is Verdict.SERVED or not must_not_rerun:
+            priority = result_priority(must_not_rerun, retained.single_use_id, is_delivered)
+            self._answers[priority][job] = retained
+            self._count(retained, 1)
+        self._drop_excess(now)
+
+    def _drop_excess(self, now: float) -> None:
+        """Drop ids and answers whose time is over, and the answers that are beyond the limits."""
+        self.ids.expire(now)
+        for priority, answers in self._answers.items():
+            while answers:
+                oldest = next(iter(answers))
+                reason = self._drop_reason(answers[oldest], now)
+                if reason is None:
+                    break
+                self._note_drop(oldest, answers[oldest], priority, reason, now)
+                self._count(answers.pop(oldest), -1)
 
     def _drop_reason(self, retained: RetainedAnswer, now: float) -> DropReason | None:
         """Return why the oldest answer has to go, or None if it may stay."""
@@ -92,28 +139,33 @@
             return DropReason.TIME
         if len(self) > MAX_RETAINED_ANSWERS:
             return DropReason.COUNT
-        return DropReason.BYTES if self._bytes > self.max_bytes else None
+        limit = min(MAX_RETAINED_BYTES, self.max_bytes - self.ids.size_bytes)
+        return DropReason.BYTES if self._answer_bytes > limit else None
 
-    def _note_drop(self, job: JobKey, retained: RetainedAnswer, reason: DropReason, now: float) -> None:
+    def _note_drop(
+        self, job: JobKey, retained: RetainedAnswer, priority: ResultPriority, reason: DropReason, now: float
+    ) -> None:
         """Count and log that an answer is dropped."""
         self.drops[reason] += 1
+        is_run_once = priority in (ResultPriority.DELIVERED, ResultPriority.UNDELIVERED)
+        if is_run_once and reason is not DropReason.TIME:
+            self.drops_of_run_once += 1
         if logger.isEnabledFor(logging.DEBUG):
             fields = {
-                "class": job[0], "request": job[1], "reason": reason.value, "bytes": self._bytes,
-                "answers": len(self), "ms_left": round(retained.until - now),
-                "must_not_rerun": job in self._run_once,
+                "class": job[0], "request": job[1], "reason": reason.value, "priority": priority.name.lower(),
+                "bytes": self._answer_bytes, "answers": len(self), "ms_left": round(retained.until - now),
             }  # fmt: skip
             logger.debug("an answer is no longer retained", extra=fields)
 
-    def _remove(self, job: JobKey) -> None:
-        """Remove what is retained of a job, if anything is."""
-        for answers in (self._repeatable, self._run_once):
+    def _remove_answer(self, job: JobKey) -> None:
+        """Remove the answer to a job, by its stored key, if it is retained."""
+        for answers in self._answers.values():
             removed = answers.pop(job, None)
             if removed is not None:
-                self._count(job, removed, -1)
+                self._count(removed, -1)
 
-    def _count(self, job: JobKey, retained: RetainedAnswer, sign: int) -> None:
+    def _count(self, retained: RetainedAnswer, sign: int) -> None:
         """Add an answer to the sums, or with `sign` -1 subtract it."""
         result_bytes = len(retained.answer.result)
         self._result_bytes += sign * result_bytes
-        self._bytes += sign * (result_bytes + len(job[1]))
+        self._answer_bytes += sign * (result_bytes + ANSWER_OVERHEAD_BYTES)
--- a/eiderpin/net/handover_claims.py
+++ b/eiderpin/net/handover_claims.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING
 
 from eiderpin.core.moves import TransferredRequest, adopt_resubmittable, take_out_resubmittable
 from eiderpin.core.peer_jobs import Move, Peer
 from eiderpin.core.requests import Answer, Request, ResponseSink
-from eiderpin.core.retained_answers import JobKey, RetainedAnswer
+from eiderpin.core.retained_answers import RetainedAnswer
+from eiderpin.core.run_once_ids import JobKey
 from eiderpin.net import handover_messages as messages
 from eiderpin.net.handover_messages import Document, Message
+from eiderpin.policy.run_once_records import RETENTION_MS
 
 if TYPE_CHECKING:
     from eiderpin.net.handover_link import Link
@@ -19,6 +22,11 @@
 MAX_COPIED_BYTES = 256 * 1024  # of results in one message
 
 
+def _bounded(jobs: list[tuple[JobKey, float]]) -> list[tuple[JobKey, float]]:
+    """Return jobs with times that a message may tell: that of an open job, or a minute at most."""
+    return [(job, left if math.isinf(left) else min(left, RETENTION_MS)) for job, left in jobs]
+
+
 class PeerWaiter:
     """Passes the answer to a job of ours on to the peer process whose claim to it we refused."""
 
@@ -73,12 +81,12 @@
     def tell_jobs(self, jobs: list[tuple[JobKey, float]]) -> None:
         """Tell the peer of jobs that must not begin there."""
         for first in range(0, len(jobs), JOBS_PER_MESSAGE):
-            self.link.send(messages.Jobs(jobs[first : first + JOBS_PER_MESSAGE]))
+            self.link.send(messages.Jobs(_bounded(jobs[first : first + JOBS_PER_MESSAGE])))
 
     def tell_used_ids(self, jobs: list[tuple[JobKey, float]]) -> None:
         """Tell the peer of ids that are used here, or not any more."""
         for first in range(0, len(jobs), JOBS_PER_MESSAGE):
-            self.link.send(messages.UsedIds(jobs[first : first + JOBS_PER_MESSAGE]))
+            self.link.send(messages.UsedIds(_bounded(jobs[first : first + JOBS_PER_MESSAGE])))
 
     def claim(self, number: int, job: JobKey, background: bool) -> None:
         """Claim a job that was submitted here."""
@@ -159,7 +167,9 @@
             return
         now = self.core.clock.now()
         copies = [
-            messages.CopiedAnswer(job, retained.answer, retained.until - now, retained.single_use_id)
+            messages.CopiedAnswer(
+                job, retained.answer, min(retained.until - now, RETENTION_MS), retained.single_use_id
+            )
             for job, retained in self.jobs.answers_to_copy(self.peer, MAX_COPIED_BYTES)
         ]
         if copies:
--- a/eiderpin/net/handover_messages.py
+++ b/eiderpin/net/handover_messages.py
@@ -19,8 +19,8 @@
 class and the id that its client gave it. Results are text in Latin-1.
 
     {"jobs": [[class, id, left], ...]}   after the hello: jobs that the sender or its other peer has (`left`
-                                    null), or that ended there less than a minute ago, with the ms that
-                                    are left of it. Later: jobs that its other peer has begun
+                                    null), or that ended there, with the ms for which it still remembers
+                                    them, a minute at most. Later: jobs that its other peer has begun
     {"claim": [class, id], "background": false, "ask": 7}   a client has submitted this job; answered by
     {"granted": 7}, {"taken": 7}    with `taken` the sender has the job, and its answer follows:
     {"ended": 7, "answer": [verdict, result, wait], "ran": true}
@@ -49,7 +49,8 @@
 from eiderpin.core import learned
 from eiderpin.core.learned import Learned
 from eiderpin.core.requests import Answer, Verdict
-from eiderpin.core.retained_answers import RETENTION_MS, JobKey
+from eiderpin.core.run_once_ids import JobKey
+from eiderpin.policy.run_once_records import RETENTION_MS
 
 PROTOCOL_VERSION = 1
 DECODE_ERRORS = (ValueError, TypeError, KeyError, AttributeError, IndexError)
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -33,7 +33,7 @@
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Clock, Deadlines
 from eiderpin.core.dispatcher import Dispatcher
-from eiderpin.core.retained_answers import MAX_RETAINED_BYTES
+from eiderpin.limit_events import LimitEvent
 from eiderpin.log_stream import LogStream
 from eiderpin.net import discovery
 from eiderpin.net.edge import DrainScope, HttpFront
@@ -65,10 +65,9 @@
 # A process that starts while discovery is down says for so long that it is not ready, so that clients go to
 # others. The platform takes one that is not ready in 6 s for failed.
 READY_WITHIN_MS = 4000.0
-MEMORY_EVENT_INTERVAL_MS = 5000.0  # between log events that say that peers' memory is used up
 EXTRA_WORKER_CONNECTIONS = 6  # that a process may still add to workers once its successor serves the clients
 STORE_RETRY_MS = 100.0  # between checks whether the predecessor has released its member of the store
-RETAINED_MEMORY_SHARE = 0.0625  # of the memory limit, for answers that are retained for resubmissions
+RETAINED_MEMORY_SHARE = 0.0625  # of the memory limit, for ids and answers that are retained
 HELD_REQUESTS_MEMORY_SHARE = 0.125  # of the memory limit, for requests that wait or are only partly received
 
 
@@ -96,15 +95,14 @@
         self.core = Dispatcher(config.settings, config.seed, self.clock, self.deadlines, self.counters)
         workers, fronts, extra_connections = allocate_descriptors(config)
         self.memory = MemoryBudget(self.max_held_bytes)
-        self.logged_drops, self.next_memory_event_at = 0, 0.0
+        self.limit_events = self.make_limit_events()
         listen_on: tuple[str, int] | socket.socket = config.listen
         # With an inherited listening socket, a predecessor may run at the same time during an upgrade.
         inherits_socket = config.inherited is not None
         if config.inherited is not None:
             listen_on = socket.socket(fileno=config.inherited)
         self.core.keeps_results = config.gearman is not None
-        retained_bytes = int(RETAINED_MEMORY_SHARE * config.memory_mb * (1 << 20))
-        self.core.retained.max_bytes = min(MAX_RETAINED_BYTES, retained_bytes)
+        self.core.retained.max_bytes = int(RETAINED_MEMORY_SHARE * config.memory_mb * (1 << 20))
         self.workers = HttpWorkers(self.loop, self.core, "service.internal", workers, self.memory)
         self.started_at = self.clock.now()
         self.ledger = self.open_ledger(config.durable) if config.durable is not None else None
@@ -566,8 +564,12 @@
             self.counters.counts["discovery.held_back"] = len(self.core.module.list_validity.held_back)
         self.counters.counts["memory.held_bytes"] = self.memory.held_bytes
         self.counters.counts["memory.dropped"] = self.memory.drops
-        for reason, count in self.core.retained.drops.items():
+        retained = self.core.retained
+        for reason, count in retained.drops.items():
             self.counters.counts[f"retained.dropped.{reason.value}"] = count
+        self.counters.counts["retained.ids"] = len(retained.ids)
+        self.counters.counts["retained.id_bytes"] = retained.ids.size_bytes
+        self.counters.counts["retained.result_bytes"] = retained.size
         lines = ["counters", *self.counters.lines(), "end of counters"]
         for line in lines:
             if self.log_stream is not None:
@@ -586,23 +588,41 @@
             may_wait = self.ledger.run_turn() and may_wait
         self.loop.run_once(self.after_turn, 1000.0 if may_wait else 20.0)
 
-    def log_memory_use(self) -> None:
-        """Log, now and then, that memory was taken from peers since there was too little."""
-        now = self.clock.now()
-        if self.memory.drops == self.logged_drops or now < self.next_memory_event_at:
-            return
-        logs.event(
-            "memory for what peers send is used up", logging.WARNING, held_bytes=self.memory.held_bytes,
-            limit_bytes=self.memory.limit_bytes, dropped=self.memory.drops - self.logged_drops,
-            connections=len(self.loop.connections),
-        )  # fmt: skip
-        self.logged_drops = self.memory.drops
-        self.next_memory_event_at = now + MEMORY_EVENT_INTERVAL_MS
+    def make_limit_events(self) -> list[LimitEvent]:
+        """The log events that tell of memory limits."""
+        retained = self.core.retained
+        return [
+            LimitEvent(
+                "memory for what peers send is used up",
+                lambda: self.memory.drops,
+                lambda count: {
+                    "held_bytes": self.memory.held_bytes, "limit_bytes": self.memory.limit_bytes,
+                    "dropped": count, "connections": len(self.loop.connections),
+                },
+            ),
+            LimitEvent(
+                "jobs that must not run twice are rejected: no memory for their records",
+                lambda: self.counters.counts["in.no_record_room"],
+                lambda count: {
+                    "records": len(retained.ids), "held_bytes": retained.ids.size_bytes,
+                    "limit_bytes": retained.max_bytes, "rejected": count,
+                },
+            ),
+            LimitEvent(
+                "results are dropped before clients can no longer ask for them again",
+                lambda: retained.drops_of_run_once,
+                lambda count: {
+                    "answers": len(retained), "held_bytes": retained.size,
+                    "limit_bytes": retained.max_bytes, "dropped": count,
+                },
+            ),
+        ]  # fmt: skip
 
     def after_turn(self) -> None:
         """Decide on what the turn has brought, and write out what waits."""
         self.core.decide()
-        self.log_memory_use()
+        for limit_event in self.limit_events:
+            limit_event.log_if_due(self.clock.now())
         if self.log_stream is not None:
             self.log_stream.write_pending()
         if self.ledger is not None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -15,11 +15,13 @@
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Clock, Deadlines
 from eiderpin.core.requests import Answer, Attempt, Endpoint, Request, Verdict
+from eiderpin.core.run_once_ids import GROUP_SPAN_MS
 from eiderpin.core.slot_table import SlotTable, TableFull
 from eiderpin.decide import DEFAULT_SLOTS
 from eiderpin.decide import Dispatcher as Module
 from eiderpin.net.connection import Connection
 from eiderpin.net.loop import Loop
+from eiderpin.policy.run_once_records import RETENTION_MS
 
 
 class ManualClock(Clock):
@@ -163,7 +165,9 @@
         self.core.ended(self.link.sent[0], api.Outcome.DONE, b"ranked")
         self.assertEqual(self.submit("post", "a")[1].answers, [Answer(Verdict.SERVED, b"ranked")])
         self.assertEqual(self.submit("look", "a")[1].answers, [])  # another class, another job
-        self.advance_clock(retained_answers.RETENTION_MS + 1)
+        self.advance_clock(RETENTION_MS - 1)
+        self.assertEqual(self.submit("post", "a")[1].answers, [Answer(Verdict.SERVED, b"ranked")])
+        self.advance_clock(GROUP_SPAN_MS + 1)
         self.assertEqual(self.submit("post", "a")[1].answers, [])
         for number in range(retained_answers.MAX_RETAINED_ANSWERS + 10):
             request = Request("look", f"n{number}", b"/", b"", 0.0)
--- a/tests/test_used_ids.py
+++ b/tests/test_used_ids.py
@@ -3,7 +3,9 @@
 
 from __future__ import annotations
 
+import gc
 import signal
+import tracemalloc
 from collections.abc import Callable
 
 import pytest
@@ -79,9 +81,18 @@
 
 def test_retained_answers_keep_to_their_bytes_with_long_ids() -> None:
     """Ids of 2 KB were kept by the thousand, and not counted."""
-    retained = RetainedAnswers()
-    retained.max_bytes = 1_000_000
-    for number in range(2000):
-        job = ("look", f"{number}-".ljust(2000, "i"))
-        retained.add(job, RetainedAnswer(FAILED, 60_000.0, False), 0.0, must_not_rerun=bool(number % 2))
-    assert 400 <= len(retained) <= 500
+    gc.collect()
+    tracemalloc.start()
+    try:
+        retained = RetainedAnswers()
+        retained.max_bytes = 1_000_000
+        before = tracemalloc.get_traced_memory()[0]
+        for number in range(4000):
+            job = ("look", f"{number}-".ljust(2000, "i"))
+            retained.add(job, RetainedAnswer(FAILED, 60_000.0, False), 0.0, must_not_rerun=bool(number % 2))
+        used = tracemalloc.get_traced_memory()[0] - before
+    finally:
+        tracemalloc.stop()
+    assert used <= retained.max_bytes
+    assert 900 <= len(retained) < 2000  # of those that may run again
+    assert len(retained.ids) == 2000  # and all that must not
