Remember all ended posts of the other process of an upgrade, not the last 8,192

Callers of a busy dispatcher saw a post run twice around an upgrade: an HTTP id that had run at the old process ran again at the new one while both lived, and after the old one's end a Gearman post did too.

Cause: what a process knows of its peer's ended jobs (`JobsOfPeer`) was a list of 8,192 whose oldest entry gave way to the newest, whatever its class: the same eviction as in the retained answers of one process. Ruled out: the messages, which carry them all; the time that they tell, of which a minute was left.

Why the fix works: ids of jobs that must not run again are kept there as they are for a process's own jobs, until their time is over; the bound holds for jobs that may run again. They count in the room for records at the process that keeps them, so that new posts are rejected and no known one is forgotten. When the peer has gone, its ids are added to those of the process, and no longer replace an answer that is retained already.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -204,6 +204,8 @@
             return True
         self.retained.ids.expire(now)
         held = self.retained.ids.size_bytes + self._open_record_bytes
+        if self.peer_jobs is not None:
+            held += self.peer_jobs.record_bytes(now)
         return run_once_records.may_accept_run_once(held, needed, self.retained.max_bytes)
 
     def _record_bytes_of(self, request: Request) -> int:
--- a/eiderpin/core/peer_jobs.py
+++ b/eiderpin/core/peer_jobs.py
@@ -21,7 +21,7 @@
 from eiderpin.core import request_log
 from eiderpin.core.requests import FAILED, Answer, Request, ResponseSink, Verdict
 from eiderpin.core.retained_answers import MAX_RETAINED_ANSWERS, RetainedAnswer
-from eiderpin.core.run_once_ids import JobKey
+from eiderpin.core.run_once_ids import JobKey, RunOnceIds, stored_key
 from eiderpin.policy.run_once_records import RETENTION_MS
 
 if TYPE_CHECKING:
@@ -73,32 +73,50 @@
 
     def __init__(self) -> None:
         self._open: set[JobKey] = set()
-        self._ended: OrderedDict[JobKey, float] = OrderedDict()  # until when each must not run; oldest first
+        self._run_once = RunOnceIds()  # ended there; they must never run again
+        # Of the ended jobs that may run again, until when the peer's answer is to be used; oldest first.
+        self._repeatable: OrderedDict[JobKey, float] = OrderedDict()
 
     def add(self, job: JobKey) -> None:
         """Note that the peer has a job."""
-        self._ended.pop(job, None)
-        self._open.add(job)
+        self.remove(job)
+        self._open.add(stored_key(job))
 
-    def add_ended(self, job: JobKey, until: float) -> None:
+    def add_ended(self, job: JobKey, until: float, now: float, must_not_rerun: bool) -> None:
         """Note that a job has ended at the peer, and must not run elsewhere until this time."""
         self.remove(job)
-        self._ended[job] = until
-        if len(self._ended) > MAX_RETAINED_ANSWERS:
-            self._ended.popitem(last=False)
+        if must_not_rerun:
+            self._run_once.expire(now)
+            self._run_once.add(job, until)
+            return
+        self._repeatable[stored_key(job)] = until
+        if len(self._repeatable) > MAX_RETAINED_ANSWERS:
+            self._repeatable.popitem(last=False)
 
     def remove(self, job: JobKey) -> None:
         """Note that the peer does not have the job, and knows no answer to it."""
-        self._open.discard(job)
-        self._ended.pop(job, None)
+        key = stored_key(job)
+        self._open.discard(key)
+        self._repeatable.pop(key, None)
+        self._run_once.remove(key)
 
     def has(self, job: JobKey, now: float) -> bool:
         """Return whether the job must not run elsewhere."""
-        return job in self._open or self._ended.get(job, -math.inf) > now
+        key = stored_key(job)
+        if key in self._open or self._run_once.find(key, now) is not None:
+            return True
+        return self._repeatable.get(key, -math.inf) > now
 
-    def items(self) -> list[tuple[JobKey, float]]:
+    def items(self, now: float) -> list[tuple[JobKey, float]]:
         """Return all jobs, each with the time until which it must not run elsewhere; open ones last."""
-        return [*self._ended.items(), *((job, math.inf) for job in self._open)]
+        run_once = ((job, group.until) for job, group in self._run_once.items(now))
+        repeatable = ((job, until) for job, until in self._repeatable.items() if until > now)
+        return [*repeatable, *run_once, *((job, math.inf) for job in self._open)]
+
+    def record_bytes(self, now: float) -> int:
+        """Return the memory that the records of ended jobs take which must not run again."""
+        self._run_once.expire(now)
+        return self._run_once.size_bytes
 
 
 @dataclass(slots=True, eq=False)
@@ -185,8 +203,8 @@
         used += [
             (job_of(r), math.inf) for r in self.core.requests.all() if self._has_used_id(r) and not r.ended
         ]
-        others = (entry for other in self._peers for entry in other.used_ids.items())
-        return used + [(job, until - now) for job, until in others if until > now]
+        others = (entry for other in self._peers for entry in other.used_ids.items(now))
+        return used + [(job, until - now) for job, until in others]
 
     def _has_used_id(self, request: Request) -> bool:
         """Return whether a request's job must not run again, and its id belongs to it only."""
@@ -205,7 +223,7 @@
             if left <= 0:
                 peer.used_ids.remove(job)
             elif left < math.inf:
-                peer.used_ids.add_ended(job, now + left)
+                peer.used_ids.add_ended(job, now + left, now, must_not_rerun=True)
             else:
                 peer.used_ids.add(job)
             peer.ids.discard(job[1])
@@ -226,7 +244,7 @@
     def _jobs_left(self, peer: Peer) -> Iterator[tuple[JobKey, float]]:
         """Return the jobs of a peer, as `PeerChannel.tell_jobs` wants them."""
         now = self.core.clock.now()
-        return ((job, until - now) for job, until in peer.jobs.items() if until > now)
+        return ((job, until - now) for job, until in peer.jobs.items(now))
 
     def _others(self, peer: Peer) -> list[Peer]:
         """Return the other peers that take claims: they can't hear of this peer's jobs but from us."""
@@ -237,7 +255,7 @@
         now = self.core.clock.now()
         for job, left in jobs:
             if left < math.inf:
-                peer.jobs.add_ended(job, now + left)
+                peer.jobs.add_ended(job, now + left, now, self._must_not_rerun(job))
             else:
                 peer.jobs.add(job)
             peer.ids.discard(job[1])
@@ -251,9 +269,10 @@
         self._peers.remove(peer)
         for request, waiter in list(peer.waiters.values()):
             self.core.detach(request, waiter)  # its client may submit the job again to us
-        for job, until in peer.jobs.items():
+        now = self.core.clock.now()
+        for job, until in peer.jobs.items(now):
             self._retain_as_failed(job, until, single_use_id=False)
-        for job, until in peer.used_ids.items():
+        for job, until in peer.used_ids.items(now):
             self._retain_as_failed(job, until, single_use_id=True)
         for claim in list(self._claims.values()):
             self._forget_peer(claim, peer)
@@ -263,11 +282,12 @@
         now = self.core.clock.now()
         if single_use_id and self.core.open_request(job) is not None:
             return  # it goes on here
-        if until <= now or not self._must_not_rerun(job) or self.core.retained.get(job, now) is not None:
+        if not self._must_not_rerun(job):
             return
-        self.core.counters.add("in.peer_jobs_lost")
-        retained = RetainedAnswer(FAILED, min(until, now + RETENTION_MS), single_use_id)
-        self.core.retained.add(job, retained, now, must_not_rerun=True)
+        if self.core.retained.get(job, now) is None:
+            self.core.counters.add("in.peer_jobs_lost")
+        until = min(until, now + RETENTION_MS)
+        self.core.retained.add_id(job, until, single_use_id, now)
 
     def _forget_peer(self, claim: Claim, peer: Peer) -> None:
         """Go on with a claim after a peer is gone, which may have had its job."""
@@ -455,7 +475,7 @@
         """A job has ended at the peer."""
         now = self.core.clock.now()
         if must_not_rerun and peer.jobs.has(job, now):
-            peer.jobs.add_ended(job, now + RETENTION_MS)
+            peer.jobs.add_ended(job, now + RETENTION_MS, now, self._must_not_rerun(job))
         else:
             peer.jobs.remove(job)
         for other in self._others(peer):
@@ -463,6 +483,10 @@
 
     # -- ends, and their answers
 
+    def record_bytes(self, now: float) -> int:
+        """Return the memory that the records of the peers' ended jobs take which must not run again."""
+        return sum(p.jobs.record_bytes(now) + p.used_ids.record_bytes(now) for p in self._peers)
+
     def note_end(self, request: Request) -> None:
         """Tell the peers that a request has ended here, once its answer is retained."""
         job = job_of(request)
--- a/eiderpin/core/retained_answers.py
+++ b/eiderpin/core/retained_answers.py
@@ -121,6 +121,11 @@
             self._count(retained, 1)
         self._drop_excess(now)
 
+    def add_id(self, job: JobKey, until: float, single_use_id: bool, now: float) -> None:
+        """Keep a job from running again until this time; a retained answer stays."""
+        self.ids.add(job, until, single_use_id)
+        self._drop_excess(now)
+
     def _drop_excess(self, now: float) -> None:
         """Drop ids and answers whose time is over, and the answers that are beyond the limits."""
         self.ids.expire(now)
--- a/tests/test_run_once_records.py
+++ b/tests/test_run_once_records.py
@@ -13,16 +13,20 @@
 
 from eiderpin import interface as api
 from eiderpin.core import dispatcher as core
+from eiderpin.core import retained_answers
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Deadlines
+from eiderpin.core.peer_jobs import PeerJobs
 from eiderpin.core.requests import FAILED, Answer, Attempt, Request, Verdict
 from eiderpin.core.run_once_ids import GROUP_SPAN_MS, RunOnceIds
 from eiderpin.net.gearman import Kind, pack
+from eiderpin.net.handover_claims import ClaimChannel
 from eiderpin.policy.run_once_records import RETENTION_MS, ResultPriority, result_priority
 from tests.crossing import running_harness
 from tests.standins import GearmanPeer, HttpWorker, Program, http_call, running_program, wait_for
 from tests.test_core import Client, Link, ManualClock, worker_entry
 from tests.test_gearman_limits import REQ, kinds
+from tests.test_peer_jobs import SINGLE_SHOT, FakeLink, Site
 
 DEADLINE_MS = 7000.0
 POST = api.RequestClass("post", aim=2000, deadline=DEADLINE_MS)
@@ -225,6 +229,58 @@
     assert result_priority(True, False, False) is ResultPriority.UNDELIVERED
 
 
+def link_to_new_process(site: Site) -> None:
+    """Let the two processes of a site say hello to each other only now."""
+    old, new = site.processes
+    for process in site.processes:
+        process.core.peer_jobs = process.peer_jobs = PeerJobs(process.core)
+    to_new, to_old = FakeLink(old, False), FakeLink(new, True)
+    to_new.channel = ClaimChannel(to_new, set(), True)  # type: ignore[arg-type]
+    to_old.channel = ClaimChannel(to_old, set(), True)  # type: ignore[arg-type]
+    site.ends = [(old, to_new, new, to_old), (new, to_old, old, to_new)]
+    site.deliver_all()
+
+
+@pytest.mark.parametrize("old_lives", [True, False], ids=["both live", "the old one has ended"])
+@pytest.mark.parametrize("by_http", [True, False], ids=["ids of HTTP", "ids of Gearman"])
+def test_an_upgrade_forgets_no_post_however_many_have_ended(by_http: bool, old_lives: bool) -> None:
+    """The new process remembered 8,192 ids of the old one, and forgot the oldest."""
+    site = Site(0, 2)
+    old, new = site.processes
+    ids = ["z" * 1000, *(f"p{number}" for number in range(retained_answers.MAX_RETAINED_ANSWERS + 800))]
+    for unique in ids:
+        old.core._retain(
+            Request(SINGLE_SHOT, unique, b"/", b"", 0.0, single_use_id=by_http),
+            Answer(Verdict.SERVED, bytes(300)),
+        )
+    link_to_new_process(site)
+    old.alive = old_lives
+    site.deliver_all()
+    for unique in ids[::100]:
+        if by_http:
+            request = Request(SINGLE_SHOT, unique, b"/", b"", site.clock.at + 5000, single_use_id=True)
+            with pytest.raises(core.RequestIdInUseError):
+                new.core.submit(request, Client())
+        else:
+            site.submit(new, SINGLE_SHOT, unique)
+            site.deliver_all()
+    site.advance_clock(30_000.0)
+    assert site.runs == []
+
+
+def test_records_of_the_old_process_take_room_at_the_new_one() -> None:
+    """They are kept there for as long, and would come on top of its own."""
+    site = Site(0, 2)
+    old, new = site.processes
+    for number in range(1000):
+        request = Request(SINGLE_SHOT, f"p{number}", b"/", b"", 0.0)
+        old.core._retain(request, Answer(Verdict.SERVED, b"r"))
+    new.core.retained.max_bytes = old.core.retained.ids.size_bytes
+    assert site.submit(new, SINGLE_SHOT, "before").client.answers == []
+    link_to_new_process(site)
+    assert site.submit(new, SINGLE_SHOT, "after").client.answers[0].verdict is Verdict.REJECTED
+
+
 def test_a_background_post_without_room_for_its_record_is_not_confirmed() -> None:
     """A background job that is rejected after its confirmation is lost, and nobody is told."""
     with running_harness(workers=0, gearman=True) as harness:
