Remember an ended post for as long as its client may come again, not for a minute

A Gearman client that does not notice the loss of its connection waits until its own deadline before it comes again. Where a class's deadline is over a minute, its post could end, be forgotten after 60 s, and run a second time when it was submitted again. A client that had come again and lost its connection once more had no more time than before either.

Cause: `RETENTION_MS` counted from the job's end, whatever the class's deadline, and a resubmission that was answered from the record left its time as it was.

Why the fix works: the record of a job that must not run again lasts for the class's deadline and a minute, from its end or from its last resubmission (`policy/run_once_records.py`). Whenever it was submitted, its client has given up waiting by then, and has had a minute since. Ids of HTTP clients, who have a new one for each request, and jobs that may run again stay at a minute.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -147,7 +147,7 @@
                 open_request.background = open_request.background or request.background
                 return open_request
             if retained is not None:
-                self._note_resubmission(request, retained)
+                self._note_resubmission(request, retained, now)
                 request.ended = True
                 if waiter is not None and job_manager is not None:
                     job_manager.deliver_stored_answer(
@@ -190,12 +190,30 @@
         request_class = self.classes.get(cls)
         return request_class is not None and run_once_records.must_not_rerun(request_class)
 
-    def _note_resubmission(self, request: Request, retained: RetainedAnswer) -> None:
-        """Note that a job was submitted again after its end."""
+    def retention_ms(self, cls: str, single_use_id: bool) -> float:
+        """Return for how long the record of an ended job of a known class is retained."""
+        return run_once_records.retention_ms(self.classes[cls], single_use_id)
+
+    def _note_resubmission(self, request: Request, retained: RetainedAnswer, now: float) -> None:
+        """Note that a job was submitted again after its end: its client may come once more."""
         self.counters.add("in.kept")
         if retained.answer.verdict is not Verdict.SERVED:
             self.counters.add("in.kept_failed")
             request_log.request_event("submitted again, and not run again", request, logging.INFO)
+        job = (request.cls, request.unique)
+        if self.renew_record(job, now) and self.peer_jobs is not None:
+            self.peer_jobs.tell_renewal(job)
+
+    def renew_record(self, job: JobKey, now: float) -> bool:
+        """Retain the record of a job that must not run again for as long as if it had ended now.
+
+        Returns False if there is no such record.
+        """
+        retained = self.retained.get(job, now)
+        if retained is None or retained.single_use_id or not self.must_not_rerun(job[0]):
+            return False
+        self.retained.renew(job, now + self.retention_ms(job[0], False))
+        return True
 
     def _has_room_for_record(self, request: Request, now: float) -> bool:
         """Return whether the record of a new request can be retained once that has ended."""
@@ -916,7 +934,7 @@
             if answer.verdict is not Verdict.SERVED or not self.keeps_results:
                 answer = FAILED
             now = self.clock.now()
-            until = now + run_once_records.RETENTION_MS
+            until = now + self.retention_ms(request.cls, request.single_use_id)
             retained = RetainedAnswer(answer, until, request.single_use_id)
             job = (request.cls, request.unique)
             self.retained.add(job, retained, now, must_not_rerun, is_delivered)
--- a/eiderpin/core/peer_jobs.py
+++ b/eiderpin/core/peer_jobs.py
@@ -15,7 +15,7 @@
 import math
 from collections import OrderedDict, deque
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Protocol
 
 from eiderpin.core import request_log
@@ -223,7 +223,8 @@
             if left <= 0:
                 peer.used_ids.remove(job)
             elif left < math.inf:
-                peer.used_ids.add_ended(job, now + left, now, must_not_rerun=True)
+                until = self._record_until(job, now + left, single_use_id=True)
+                peer.used_ids.add_ended(job, until, now, must_not_rerun=True)
             else:
                 peer.used_ids.add(job)
             peer.ids.discard(job[1])
@@ -250,12 +251,22 @@
         """Return the other peers that take claims: they can't hear of this peer's jobs but from us."""
         return [other for other in self._peers if other is not peer and other.takes_claims]
 
+    def _record_until(self, job: JobKey, told_until: float, single_use_id: bool) -> float:
+        """Return until when to remember a job that has ended at a peer.
+
+        A peer tells of at most the last `RETENTION_MS` of that time; what goes before depends on the class.
+        """
+        if job[0] not in self.core.classes:
+            return told_until
+        return told_until + self.core.retention_ms(job[0], single_use_id) - RETENTION_MS
+
     def on_jobs(self, peer: Peer, jobs: list[tuple[JobKey, float]]) -> None:
         """Note jobs that must not begin here, as the peer tells them."""
         now = self.core.clock.now()
         for job, left in jobs:
             if left < math.inf:
-                peer.jobs.add_ended(job, now + left, now, self._must_not_rerun(job))
+                until = self._record_until(job, now + left, single_use_id=False)
+                peer.jobs.add_ended(job, until, now, self._must_not_rerun(job))
             else:
                 peer.jobs.add(job)
             peer.ids.discard(job[1])
@@ -286,7 +297,7 @@
             return
         if self.core.retained.get(job, now) is None:
             self.core.counters.add("in.peer_jobs_lost")
-        until = min(until, now + RETENTION_MS)
+        until = min(until, now + self.core.retention_ms(job[0], single_use_id))
         self.core.retained.add_id(job, until, single_use_id, now)
 
     def _forget_peer(self, claim: Claim, peer: Peer) -> None:
@@ -442,6 +453,8 @@
             self.core.add_waiter(request, waiter, background)
         elif retained is not None:
             waiter.answer(Request(*job, b"", b"", 0.0, may_have_run_at_peer=True), retained.answer)
+            if self.core.renew_record(job, self.core.clock.now()):
+                self.tell_renewal(job)
 
     def _yields_to(self, peer: Peer, request: Request) -> bool:
         """Return whether the peer goes first where both of us claim a job at the same time.
@@ -472,17 +485,26 @@
         peer.waiters.pop(number, None)
 
     def on_released(self, peer: Peer, job: JobKey, must_not_rerun: bool) -> None:
-        """A job has ended at the peer."""
+        """A job has ended at the peer, or was submitted again there after its end."""
         now = self.core.clock.now()
-        if must_not_rerun and peer.jobs.has(job, now):
-            peer.jobs.add_ended(job, now + RETENTION_MS, now, self._must_not_rerun(job))
+        if must_not_rerun and peer.jobs.has(job, now) and job[0] in self.core.classes:
+            until = now + self.core.retention_ms(job[0], False)
+            peer.jobs.add_ended(job, until, now, self._must_not_rerun(job))
         else:
             peer.jobs.remove(job)
+            if must_not_rerun:
+                self.core.renew_record(job, now)
         for other in self._others(peer):
             other.channel.release(job, must_not_rerun)
 
     # -- ends, and their answers
 
+    def tell_renewal(self, job: JobKey) -> None:
+        """Tell the peers that a job which has ended here was submitted again: they remember it, too."""
+        for peer in self._peers:
+            if peer.takes_claims:
+                peer.channel.release(job, True)
+
     def record_bytes(self, now: float) -> int:
         """Return the memory that the records of the peers' ended jobs take which must not run again."""
         return sum(p.jobs.record_bytes(now) + p.used_ids.record_bytes(now) for p in self._peers)
@@ -515,6 +537,8 @@
         """Retain answers of a peer here, too."""
         for job, retained in answers:
             peer.jobs.remove(job)
+            until = self._record_until(job, retained.until, retained.single_use_id)
+            retained = replace(retained, until=until)
             self.core.retained.add(
                 job, retained, self.core.clock.now(), self._must_not_rerun(job), is_delivered=False
             )
--- a/eiderpin/core/retained_answers.py
+++ b/eiderpin/core/retained_answers.py
@@ -11,7 +11,7 @@
 import logging
 from collections import Counter, OrderedDict
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from eiderpin.core.requests import FAILED, Answer, Verdict
@@ -126,6 +126,16 @@
         self.ids.add(job, until, single_use_id)
         self._drop_excess(now)
 
+    def renew(self, job: JobKey, until: float) -> None:
+        """Retain what there is of a job that must not run again until a later time."""
+        key = stored_key(job)
+        for answers in self._answers.values():
+            retained = answers.get(key)
+            if retained is not None and retained.until < until:
+                answers[key] = replace(retained, until=until)
+                answers.move_to_end(key)
+        self.ids.add(key, until)
+
     def _drop_excess(self, now: float) -> None:
         """Drop ids and answers whose time is over, and the answers that are beyond the limits."""
         self.ids.expire(now)
--- a/eiderpin/net/handover_messages.py
+++ b/eiderpin/net/handover_messages.py
@@ -26,7 +26,8 @@
     {"ended": 7, "answer": [verdict, result, wait], "ran": true}
     {"progress": 7, "share": 0.5}, {"data": 7, "bytes": "...", "warning": false}   before the answer
     {"withdrawn": 7}                the sender waits no longer for the answer
-    {"released": [class, id], "kept": true}   the job has ended at the sender; `kept`: it must not run again
+    {"released": [class, id], "kept": true}   the job has ended at the sender; `kept`: it must not run again.
+                                    Once more when it is submitted again after its end
     {"retained": [[class, id, verdict, result, left, single_use_id], ...]}   copies of retained answers
     {"used_ids": [[class, id, left], ...]}   if both hellos have `used_ids`: jobs that must not run again and
                                     whose ids belong to one request only; `left` as in `jobs`, 0: not used
--- a/eiderpin/policy/run_once_records.py
+++ b/eiderpin/policy/run_once_records.py
@@ -9,7 +9,8 @@
 
 from eiderpin.interface import Repeat, RequestClass
 
-RETENTION_MS = 60_000.0  # for a client to come again after its job's end
+RETENTION_MS = 60_000.0  # for a client to come again after it has given up waiting
+MAX_DEADLINE_MS = 86_400_000.0  # a class's deadline counts as no longer than this: it may be infinite
 
 
 class ResultPriority(IntEnum):
@@ -26,6 +27,17 @@
     return request_class.repeat is not Repeat.FREE
 
 
+def retention_ms(request_class: RequestClass, single_use_id: bool) -> float:
+    """Return for how long the record of an ended job is kept, in ms from its end or its last resubmission.
+
+    A client that has lost its connection without noticing waits until its own deadline, and comes again then:
+    the record of a job that must not run again lasts `RETENTION_MS` longer than that.
+    """
+    if single_use_id or not must_not_rerun(request_class):
+        return RETENTION_MS
+    return min(request_class.deadline, MAX_DEADLINE_MS) + RETENTION_MS
+
+
 def result_priority(run_once: bool, single_use_id: bool, is_delivered: bool) -> ResultPriority:
     """Return how much the result of an ended job may still be needed."""
     if single_use_id:
