Keep the name of an ended durable post though there are too many answers

Callers of durable jobs: a post that was submitted again by its name within `keep_s` (an hour unless set) ran a second time, once `keep_most` (100,000) later jobs had ended or their results had filled `keep_mb`. At 28 posts a second that was so before the hour was over.

Cause: `Ledger.expire` removed the oldest ended job with its name, where there was too much. It is the same cause as in the answers that a process retains in memory: what forbids a second run went with the answer.

Why the fix works: the name of a job that must not run twice is kept until its time is over. Beyond the bounds, jobs that may run again and jobs without a name go first, and then results of the others; submitted again, such a job counts as failed. When names alone reach a bound, a new job is rejected before it is accepted (503, ERROR `NOT_TAKEN`), counted as `ledger.no_room` and told by a warning; dropped results are counted as `ledger.results_dropped`. Names last at least for the class's deadline and a minute, whatever `keep_s` says. Files are as before: a job whose result was dropped is an aborted one in the next checkpoint. A record that its result was told, which may follow in the log, is read as belonging to it.

The test of bounds (test_ledger.py) asked for single-run names to be removed by number and size; it asks this of jobs that may run again now, and further tests ask that the names of others stay, over a checkpoint and a change of classes. They failed before, as did the one of a real dispatcher with a kill: with `keep_most` 2 the third post got 200 where the first name had made room for it.

--- a/eiderpin/jobs/keeper.py
+++ b/eiderpin/jobs/keeper.py
@@ -23,6 +23,7 @@
 from eiderpin.jobs.ledger import JobNotRunnableError, Ledger, is_same_job
 from eiderpin.jobs.records import Accepted, AnyRecord, Ended, Opened, Released
 from eiderpin.parts.durable import DurableOptions
+from eiderpin.policy.run_once_records import retention_ms
 
 log = logging.getLogger("eiderpin")
 
@@ -61,7 +62,7 @@
         self.single_run_classes = tuple(sorted(not_repeatable & options.classes))
         self.ledger = Ledger(
             frozenset(self.single_run_classes),
-            options.keep_ms,
+            self._keep_ms(),
             options.max_answers,
             int(options.max_results_mb * (1 << 20)),
         )
@@ -79,6 +80,11 @@
         self.write_record(self.ownership_record(self.ledger.term + 1))
         self.expire_answers()
 
+    def _keep_ms(self) -> float:
+        """Return how long ended jobs are kept, in ms: never shorter than clients may come again."""
+        classes = (self.core.classes[name] for name in self.single_run_classes)
+        return max([self.options.keep_ms, *(retention_ms(c, single_use_id=False) for c in classes)])
+
     def _clock_offset(self) -> float:
         """Return how far (ms) the ledger's time is ahead of the core's clock.
 
@@ -176,6 +182,7 @@
     def expire_answers(self) -> None:
         """Remove the stored answers that are too old or too many, and schedule the next expiry."""
         self.ledger.expire(self.now())
+        self.core.counters.counts["ledger.results_dropped"] = self.ledger.results_dropped
         self.core.deadlines.set(self.core.clock.now() + EXPIRY_INTERVAL_MS, self.expire_answers)
 
     def is_idle(self) -> bool:
@@ -196,7 +203,7 @@
         job = self.ledger.find(request.cls, request.unique) if request.unique else None
         if job is None or job.ended is None:
             return None
-        if job.ended.at + self.options.keep_ms <= self.now():
+        if job.ended.at + self.ledger.keep_ms <= self.now():
             return None
         if not is_same_job(job.accepted, request.target, request.body):
             raise JobMismatchError
@@ -204,11 +211,14 @@
         return Answer(Verdict.SERVED, job.ended.result) if served else Answer(Verdict.FAILED)
 
     def accept(self, request: Request) -> bool:
-        """Store a new job; return False if the disk has failed.
+        """Store a new job; return False if the disk has failed, or if there is no room for a further name.
 
         If the write fails later, the request is rejected.
         """
         now = self.now()
+        if not self.ledger.has_room(request.cls, request.unique):
+            self.core.counters.add("ledger.no_room")
+            return False
         job = self.ledger.next_job()
         record = Accepted(
             now,
--- a/eiderpin/jobs/ledger.py
+++ b/eiderpin/jobs/ledger.py
@@ -16,6 +16,8 @@
 
 from eiderpin.jobs.records import Accepted, AnyRecord, Ended, Leased, Opened, Released
 
+JOB_OVERHEAD_BYTES = 300  # of memory for an ended job beside its name and its result
+
 
 class LedgerRuleError(Exception):
     """A record contradicts those before it."""
@@ -62,6 +64,7 @@
     accepted: Accepted
     leases: list[Lease] = field(default_factory=list)
     ended: Ended | None = None
+    result_dropped: bool = False  # it counts as failed since: there was no room for its result
 
     @property
     def name(self) -> tuple[str, str]:
@@ -88,8 +91,12 @@
 class Ledger:
     """All open jobs, and the ended jobs whose answers are kept for resubmissions.
 
-    `single_run_classes`: classes whose jobs may not run twice. `keep_ms`, `max_answers` and
-    `max_answer_bytes` bound the ended jobs that are kept.
+    An ended job that must not run again by its name is kept for `keep_ms` in any case. Beyond the bounds
+    other ended jobs are removed, and then results of these are dropped; what is left may leave no room for a
+    new job of their classes: see `has_room`.
+
+    `single_run_classes`: classes whose jobs may not run twice. `max_answers` and `max_answer_bytes` bound the
+    ended jobs that are kept.
     """
 
     def __init__(
@@ -109,7 +116,12 @@
         self._job_by_name: dict[tuple[str, str], int] = {}
         self._job_by_wire_id: dict[str, int] = {}  # the last job with each id that workers use
         self._ended_at: OrderedDict[int, float] = OrderedDict()  # by ended job, oldest end first
-        self._kept_bytes = 0
+        self._removable: OrderedDict[int, None] = OrderedDict()  # ended jobs that may run again, likewise
+        self._with_result: OrderedDict[int, None] = OrderedDict()  # other ended jobs with a result, likewise
+        self._kept_bytes = 0  # of all ended jobs
+        # Open and ended jobs whose names must be kept, and the bytes of these.
+        self._kept_names = self._kept_name_bytes = 0
+        self.results_dropped = 0  # of jobs whose names had to be kept
 
     # -- which records are allowed next; each method returns one that has yet to be applied and written
 
@@ -150,11 +162,8 @@
         if isinstance(record, Opened):
             if record.term < self.term:
                 raise LedgerRuleError(f"term {record.term} after term {self.term}")
-            self.term, self.owner, self.single_run_classes = (
-                record.term,
-                record.name,
-                frozenset(record.single),
-            )
+            self.term, self.owner = record.term, record.name
+            self._set_single_run_classes(frozenset(record.single))
             self._last_opened = record
         elif isinstance(record, Accepted):
             self._apply_accepted(record)
@@ -172,6 +181,26 @@
                 self._apply_ended(job, record)
         self.last_at = max(self.last_at, record.at)
 
+    def _set_single_run_classes(self, classes: frozenset[str]) -> None:
+        """Change which classes may not run twice, and with them which names must be kept."""
+        if classes == self.single_run_classes:
+            return
+        self.single_run_classes = classes
+        self._kept_names = self._kept_name_bytes = 0
+        self._removable.clear()
+        self._with_result.clear()
+        for number, job in self.jobs.items():
+            self._count_name(job, 1)
+            if job.ended is not None:
+                self._sort_ended(number, job, job.ended)
+
+    def _sort_ended(self, number: int, job: Job, ended: Ended) -> None:
+        """Note which part of an ended job may be dropped where there are too many."""
+        if not self._must_keep_name(job):
+            self._removable[number] = None
+        elif ended.verdict == "succeeded":
+            self._with_result[number] = None
+
     def _apply_accepted(self, record: Accepted) -> None:
         if record.job in self.jobs:
             raise LedgerRuleError(f"job {record.job} is taken on twice")
@@ -182,7 +211,8 @@
                 raise LedgerRuleError(str(error)) from None
             self._job_by_name[record.cls, record.unique] = record.job
         self._job_by_wire_id[record.wire_id] = record.job
-        self.jobs[record.job] = Job(record)
+        self.jobs[record.job] = job = Job(record)
+        self._count_name(job, 1)
         self.last_job = max(self.last_job, record.job)
 
     def _apply_leased(self, job: Job, record: Leased) -> None:
@@ -202,6 +232,8 @@
             lease.released = record
 
     def _apply_ended(self, job: Job, record: Ended) -> None:
+        if job.result_dropped:
+            return
         before = job.ended
         is_repeated = before is not None and (before.verdict, before.result) == (
             record.verdict,
@@ -215,6 +247,7 @@
             return
         self._kept_bytes += _kept_size(job) - (_kept_size(job, before) if before is not None else 0)
         self._ended_at[record.job] = record.at
+        self._sort_ended(record.job, job, record)
         # The job is not sent again: its answer is kept, and its body is replaced by a fingerprint.
         job.accepted = _without_body(job.accepted)
 
@@ -230,27 +263,67 @@
             return True
         return job.accepted.cls in self.single_run_classes and job.ended.verdict == "aborted"
 
+    def _must_keep_name(self, job: Job) -> bool:
+        """Return whether a job may be submitted again by its name, and must not run then."""
+        return bool(job.accepted.unique) and job.accepted.cls in self.single_run_classes
+
+    def _count_name(self, job: Job, sign: int) -> None:
+        """Count a job's name, if it must be kept, or with `sign` -1 count it no longer."""
+        if self._must_keep_name(job):
+            self._kept_names += sign
+            self._kept_name_bytes += sign * _name_size(job.accepted.unique)
+
+    def has_room(self, cls: str, unique: str) -> bool:
+        """Return whether a new job may be accepted: its name may have to be kept, and no other is dropped."""
+        if not unique or cls not in self.single_run_classes:
+            return True
+        has_bytes = self._kept_name_bytes + _name_size(unique) <= self.max_answer_bytes
+        return has_bytes and self._kept_names < self.max_answers
+
     def _remove(self, number: int) -> None:
         job = self.jobs.pop(number)
+        self._removable.pop(number, None)
+        self._with_result.pop(number, None)
+        self._count_name(job, -1)
         if self._job_by_name.get(job.name) == number:
             del self._job_by_name[job.name]
         if self._job_by_wire_id.get(job.accepted.wire_id) == number:
             del self._job_by_wire_id[job.accepted.wire_id]
 
     def expire(self, now: float) -> int:
-        """Remove the ended jobs that are too old, or beyond the bounds; return how many."""
+        """Remove the ended jobs that are too old, and the answers beyond the bounds; return how many jobs."""
         removed = 0
         while self._ended_at:
             number, at = next(iter(self._ended_at.items()))
-            is_over_bound = len(self._ended_at) > self.max_answers or self._kept_bytes > self.max_answer_bytes
-            if not is_over_bound and at + self.keep_ms > now:
+            if at + self.keep_ms > now:
                 break
-            del self._ended_at[number]
-            self._kept_bytes -= _kept_size(self.jobs[number])
-            self._remove(number)
+            self._remove_ended(number)
+            removed += 1
+        while self._removable and (
+            len(self._ended_at) > self.max_answers or self._kept_bytes > self.max_answer_bytes
+        ):
+            self._remove_ended(next(iter(self._removable)))
             removed += 1
+        while self._with_result and self._kept_bytes > self.max_answer_bytes:
+            self._drop_result(next(iter(self._with_result)))
         return removed
 
+    def _remove_ended(self, number: int) -> None:
+        del self._ended_at[number]
+        self._kept_bytes -= _kept_size(self.jobs[number])
+        self._remove(number)
+
+    def _drop_result(self, number: int) -> None:
+        """Drop the result of a job whose name is kept: submitted again, it counts as failed."""
+        job = self.jobs[number]
+        assert job.ended is not None
+        self._kept_bytes -= _kept_size(job)
+        job.ended = Ended(job.ended.at, number, "aborted", told=True)
+        job.result_dropped = True
+        self._kept_bytes += _kept_size(job)
+        del self._with_result[number]
+        self.results_dropped += 1
+
     def since_boot_at(self, at: float) -> float:
         """Return the machine's monotonic clock (ms) at a time of the records, as its last owner related them.
 
@@ -311,9 +384,14 @@
 
 
 def _kept_size(job: Job, ended: Ended | None = None) -> int:
-    """Return the estimated memory of an ended job in bytes; 300 is for all but its name and result."""
+    """Return the estimated memory of an ended job in bytes."""
     ended = ended or job.ended
-    return 300 + len(job.accepted.unique) + (len(ended.result) if ended is not None else 0)
+    return _name_size(job.accepted.unique) + (len(ended.result) if ended is not None else 0)
+
+
+def _name_size(unique: str) -> int:
+    """Return the estimated memory of an ended job without its result, in bytes."""
+    return JOB_OVERHEAD_BYTES + len(unique)
 
 
 def fingerprint(target: bytes, body: bytes) -> bytes:
--- a/eiderpin/net/gearman_connection.py
+++ b/eiderpin/net/gearman_connection.py
@@ -359,8 +359,8 @@
         self.send_error("NO_ROOM", "no memory for the job: come back later")
 
     def send_not_taken(self) -> None:
-        """Reply that a durable job could not be accepted, since it could not be written to disk."""
-        self.send_error("NOT_TAKEN", "the disk of durable jobs takes nothing now: come back later")
+        """Reply that a durable job could not be accepted: its disk or its ledger has no room for it."""
+        self.send_error("NOT_TAKEN", "durable jobs are not taken now: come back later")
 
     def reply_in_order(self, send_reply: Callable[[], None]) -> None:
         """Send the reply to a submission after those to earlier ones: clients match them by their order."""
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -616,6 +616,16 @@
                     "limit_bytes": retained.max_bytes, "dropped": count,
                 },
             ),
+            LimitEvent(
+                "durable jobs are rejected: no room for their names",
+                lambda: self.counters.counts["ledger.no_room"],
+                lambda count: {"rejected": count},
+            ),
+            LimitEvent(
+                "results of durable jobs are dropped before clients can no longer ask for them again",
+                lambda: self.counters.counts["ledger.results_dropped"],
+                lambda count: {"dropped": count},
+            ),
         ]  # fmt: skip
 
     def after_turn(self) -> None:
--- a/tests/test_crash.py
+++ b/tests/test_crash.py
@@ -498,6 +498,20 @@
         )  # fmt: skip
         self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
 
+    def test_a_durable_post_is_not_forgotten_when_there_are_too_many_names(self) -> None:
+        """The oldest name made room for the newest, and its post ran again. A new post is rejected now."""
+        with run_installation(keep_most=2) as installation:
+            installation.held_worker.go.set()
+            program = installation.start()
+            self.assertEqual([post(program, name)[0] for name in ("a1", "a2", "a3")], [200, 200, 503])
+            self.assertEqual(post(program, "a1"), (200, b"ran a1"))
+            self.assertEqual(program.counters()["ledger.no_room"], 1)
+            wait_for(lambda: any("no room for their names" in line for line in program.lines), "the event")
+            installation.kill()
+            restarted = installation.start()
+            self.assertEqual([post(restarted, name)[0] for name in ("a1", "a2", "a3")], [200, 200, 503])
+            self.assertEqual(installation.ran, {"a1": 1, "a2": 1})
+
     def test_a_second_program_with_the_same_ledger_does_not_start(self) -> None:
         """Two programs that write one ledger would damage it."""
         with run_installation() as installation:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -39,6 +39,16 @@
     return Leased(1.0, job, attempt, "h1", 1, "http", "127.0.0.1:9")
 
 
+def ended_jobs(count: int, cls: str, first: int = 1, told: bool = True) -> list[AnyRecord]:
+    """The records of so many jobs that were served, with names from n1 on."""
+    job_records: list[AnyRecord] = []
+    for number in range(1, count + 1):
+        job = first + number - 1
+        ended = Ended(float(number), job, "succeeded", b"r" * 1000, told)
+        job_records += [accepted(job, cls, unique=f"n{number}"), leased(job), ended]
+    return job_records
+
+
 def ledger_of(job_records: Iterable[AnyRecord], **limits: Any) -> Ledger:
     """A ledger that has applied these records, each packed and unpacked as on disk."""
     ledger = Ledger(SINGLE, **limits)
@@ -95,20 +105,55 @@
 
     def test_stored_answers_expire_by_age_count_and_size(self) -> None:
         """Answers that never expire would fill the memory, and their names could not be used again."""
-        job_records: list[AnyRecord] = []
-        for job in range(1, 11):
-            ended = Ended(float(job), job, "succeeded", b"r" * 1000)
-            job_records += [accepted(job, unique=f"n{job}"), leased(job), ended]
-        for limits, now, remaining in (
-            ({"keep_ms": 5.0}, 10.0, 5), ({"max_answers": 3}, 10.0, 3),
-            ({"max_answer_bytes": 5000}, 10.0, 3), ({}, 10.0, 10),
+        for cls, limits, remaining in (
+            ("read", {"keep_ms": 5.0}, 5), ("read", {"max_answers": 3}, 3),
+            ("read", {"max_answer_bytes": 5000}, 3), ("read", {}, 10), ("post", {"keep_ms": 5.0}, 5),
         ):  # fmt: skip
-            ledger = ledger_of(job_records, **limits)
-            ledger.expire(now)
+            ledger = ledger_of(ended_jobs(10, cls), **limits)
+            ledger.expire(10.0)
             self.assertEqual(len(ledger.jobs), remaining, limits)
-            self.assertEqual(ledger.find("post", "n10") is not None, True)
-            self.assertIsNone(ledger.find("post", "n1") if remaining < 10 else None)
-            ledger.apply(accepted(11, unique="n1" if remaining < 10 else "n11"))  # the name is free again
+            self.assertEqual(ledger.find(cls, "n10") is not None, True)
+            self.assertIsNone(ledger.find(cls, "n1") if remaining < 10 else None)
+            # The name is free again.
+            ledger.apply(accepted(11, cls, unique="n1" if remaining < 10 else "n11"))
+
+    def test_names_that_must_not_run_again_stay_when_there_are_too_many_answers(self) -> None:
+        """The oldest were removed, so that their jobs ran again when they were submitted again."""
+        for limits, served, has_room in (
+            ({"max_answers": 3}, 10, False), ({"max_answer_bytes": 5000}, 1, True),
+            ({"max_answer_bytes": 3100}, 0, False),
+        ):  # fmt: skip
+            ledger = ledger_of([*ended_jobs(10, "post"), *ended_jobs(10, "read", first=11)], **limits)
+            ledger.expire(10.0)
+            reloaded = ledger_of(ledger.snapshot(), **limits)
+            for kept in (ledger, reloaded):
+                jobs = [kept.find("post", f"n{number}") for number in range(1, 11)]
+                verdicts = [job.ended.verdict for job in jobs if job is not None and job.ended is not None]
+                self.assertEqual(verdicts, ["aborted"] * (10 - served) + ["succeeded"] * served, limits)
+                self.assertEqual(len(kept.jobs), 10)  # those that may run again are gone
+                self.assertEqual(kept.has_room("post", "new"), has_room)
+                self.assertTrue(kept.has_room("read", "new"))
+                kept.expire(4_000_000.0)
+                self.assertEqual((len(kept.jobs), kept.has_room("post", "new")), (0, True))
+
+    def test_a_record_that_a_result_was_told_is_read_after_the_result_was_dropped(self) -> None:
+        """A long ledger is read with its bounds applied; such a record would have kept it from being read."""
+        ledger = ledger_of(ended_jobs(10, "post", told=False), max_answer_bytes=5000)
+        ledger.expire(10.0)
+        ledger.apply(Ended(1.0, 1, "succeeded", b"r" * 1000, True))
+        job = ledger.find("post", "n1")
+        assert job is not None and job.ended is not None
+        self.assertEqual((job.ended.verdict, job.ended.result), ("aborted", b""))
+
+    def test_a_class_that_must_not_run_twice_any_more_makes_room(self) -> None:
+        """A new owner may have other settings than the one that wrote the ledger."""
+        ledger = ledger_of(ended_jobs(10, "post"), max_answers=3)
+        ledger.apply(Opened(10.0, 2, "b", ()))
+        ledger.expire(10.0)
+        self.assertEqual((len(ledger.jobs), ledger.has_room("post", "new")), (3, True))
+        ledger.apply(Opened(10.0, 3, "b", ("post",)))
+        ledger.expire(10.0)
+        self.assertEqual((len(ledger.jobs), ledger.has_room("post", "new")), (3, False))
 
     def test_the_recovery_plan_has_the_right_step_for_each_open_job(self) -> None:
         """A wrong step runs a job twice, or leaves one without an end."""
