Read a ledger whose bounds removed a job before the last record of it

A dispatcher with durable jobs could fail to start: "Ended of job 1, which was never taken on". Not seen in the field; shown by the ledger's own rules while names were kept from removal.

Cause: bounds are applied once a second while a dispatcher runs, and each 4,096 records while it reads its ledger. So a job can be removed in reading before a record that was written while it was still there: that its result was told, or that an attempt of it was released after its end.

Why the fix works: such a record changes nothing once the job has been removed, so it is passed over. It is one of a job number that has been taken on; a lease is never among them, and a number that was never taken on is an error as before. The test failed before.

--- a/eiderpin/jobs/ledger.py
+++ b/eiderpin/jobs/ledger.py
@@ -169,6 +169,8 @@
             self._apply_accepted(record)
         else:
             job = self.jobs.get(record.job)
+            if job is None and self._may_follow_removal(record):
+                return
             if job is None:
                 raise LedgerRuleError(
                     f"{type(record).__name__} of job {record.job}, which was never taken on"
@@ -181,6 +183,13 @@
                 self._apply_ended(job, record)
         self.last_at = max(self.last_at, record.at)
 
+    def _may_follow_removal(self, record: Leased | Released | Ended) -> bool:
+        """Return whether a record may be of an ended job that was removed beyond the bounds.
+
+        Whoever wrote it applied the bounds at other moments than whoever reads it.
+        """
+        return record.job <= self.last_job and not isinstance(record, Leased)
+
     def _set_single_run_classes(self, classes: frozenset[str]) -> None:
         """Change which classes may not run twice, and with them which names must be kept."""
         if classes == self.single_run_classes:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -145,6 +145,17 @@
         assert job is not None and job.ended is not None
         self.assertEqual((job.ended.verdict, job.ended.result), ("aborted", b""))
 
+    def test_a_record_of_a_job_that_was_removed_while_reading_is_passed_over(self) -> None:
+        """The dispatcher did not start: bounds are applied at other moments while a long ledger is read."""
+        for late in (Ended(11.0, 1, "succeeded", b"r" * 1000, True), Released(11.0, 1, 0, True, "reset")):
+            ledger = ledger_of(ended_jobs(10, "read", told=False), max_answers=3)
+            ledger.expire(10.0)
+            before = list(ledger.snapshot())
+            ledger.apply(late)
+            self.assertEqual(list(ledger.snapshot()), before)
+            with self.assertRaisesRegex(LedgerRuleError, "never taken on"):
+                ledger.apply(leased(1, 1))
+
     def test_a_class_that_must_not_run_twice_any_more_makes_room(self) -> None:
         """A new owner may have other settings than the one that wrote the ledger."""
         ledger = ledger_of(ended_jobs(10, "post"), max_answers=3)
