Refuse an id at the old process of an upgrade whose post goes on at the new one

An id of an HTTP client whose result-post had gone over to the new process ran a second time when it came to the old one again, behind another request on a connection that had to stay there.

Cause: when a request goes over with its client's connection, the old process drops it, and nothing there says any more that its id is used. The new process tells of an id when it accepts one from a client, and of its end, but not when it adopts a request. Ruled out: ids at the new process, which were refused already, and Gearman jobs, whose other process is asked first.

Why the fix works: the old process notes the id as used by its peer when it hands the request over, as if the peer had told it, and no longer when it takes the request back. The peer's word about the end gives it its time.

--- a/eiderpin/core/peer_jobs.py
+++ b/eiderpin/core/peer_jobs.py
@@ -232,6 +232,15 @@
             if other is not peer and other.takes_used_ids:
                 other.channel.tell_used_ids(jobs)
 
+    def on_handed_over(self, peer: Peer, job: JobKey) -> None:
+        """Note that a request whose id belongs to it only is on its way to the peer, or goes on there."""
+        if self._must_not_rerun(job):
+            peer.used_ids.add(job)
+
+    def on_taken_back(self, peer: Peer, job: JobKey) -> None:
+        """Note that such a request goes on here."""
+        peer.used_ids.remove(job)
+
     def _own_jobs(self) -> Iterator[tuple[JobKey, float]]:
         """Return our jobs that must not begin elsewhere, as `PeerChannel.tell_jobs` wants them."""
         now = self.core.clock.now()
--- a/eiderpin/net/handover.py
+++ b/eiderpin/net/handover.py
@@ -209,6 +209,8 @@
                 self.adopt_job(asdict(moved), sock)  # the link is busy: try again next time
                 return
             self.successor.pending_transfers[number] = (moved, sock)
+            if self.successor.claims is not None:
+                self.peer_jobs.on_handed_over(self.successor.claims.peer, (moved.cls, moved.unique))
         if self.successor.claims is not None:
             self.successor.claims.move_jobs()
         self.transfer_ledger()
--- a/eiderpin/net/handover_link.py
+++ b/eiderpin/net/handover_link.py
@@ -183,6 +183,8 @@
         if isinstance(moved, WaitingClient):
             self.handover.adopt_waiting_client(asdict(moved), sock)
             return
+        if self.claims is not None:
+            self.handover.peer_jobs.on_taken_back(self.claims.peer, (moved.cls, moved.unique))
         self.handover.kept_ids.add(moved.wire_id)
         self.handover.adopt_job(asdict(moved), sock)
 
--- a/tests/test_used_ids.py
+++ b/tests/test_used_ids.py
@@ -13,8 +13,8 @@
 from eiderpin.core import retained_answers
 from eiderpin.core.requests import FAILED, Answer, Verdict
 from eiderpin.core.retained_answers import RetainedAnswer, RetainedAnswers
-from tests.standins import Program, http_call, wait_for
-from tests.test_operators import figures
+from tests.standins import Program, http_call, read_to_end, wait_for
+from tests.test_operators import ASK, figures
 from tests.test_upgrade import TOOK, UpgradeSite, said, side
 
 USED_ID = "used-7"
@@ -68,6 +68,25 @@
         assert_not_run_again(site, only)
 
 
+def test_an_id_does_not_run_again_at_the_old_process_after_its_job_has_gone_over() -> None:
+    """Another client sends it there behind a request of its own, so that its connection has to stay."""
+    with side() as site:
+        old = site.serving()
+        moving = site.start_job(USED_ID.encode())
+        staying = site.start_job(b"stays")
+        staying.sendall(ASK.replace(b"time-lookup", b"result-post") % USED_ID.encode())
+        new = site.serving()
+        said(old, TOOK)
+        old.process.send_signal(signal.SIGTERM)
+        wait_for(lambda: figures(new.at["management"])["outstanding"] == 1, "the job to go over")
+        site.held.worker.send_callback("stays", "done", result="ran stays")
+        first, _, second = read_to_end(staying).partition(b"ran stays")
+        assert first.startswith(b"HTTP/1.1 200") and second.startswith(b"HTTP/1.1 409")
+        assert site.held.worker.ran[USED_ID] == 1
+        moving.close()
+        staying.close()
+
+
 def test_answers_that_guard_against_a_second_run_outlast_a_flood_of_others() -> None:
     """Thousands of served lookups pushed out the ids of posts that may have run, which then ran again."""
     retained, guarded = RetainedAnswers(), ("post", "guarded")
