Drop results of background posts before one that its client has not got

A Gearman client that lost its connection and submitted its post again was told that it had failed, although it had been served: results of background jobs, for which nobody waits, were taken for ones that a client has not got, and pushed it out. Cause: `is_delivered` was whether a client waited at the end. A background job counts as delivered now. The test failed before, with a failure in place of the result.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -898,7 +898,7 @@
     def _deliver(self, request: Request, answer: Answer) -> None:
         """Give the final answer to all waiting clients, and retain it for resubmissions."""
         if self._forget_unique(request) and not request.job:
-            self._retain(request, answer, bool(request.waiters))
+            self._retain(request, answer, is_delivered=bool(request.waiters) or request.background)
             if self.peer_jobs is not None:
                 self.peer_jobs.note_end(request)
         waiters, request.waiters = request.waiters, []
@@ -927,7 +927,7 @@
         """Retain the answer for resubmissions, where it matters to them.
 
         That is a result, or the failure of a job that may have run and must not run again. `is_delivered`: a
-        client waited for it.
+        client waited for it, or none wanted to.
         """
         must_not_rerun = self.must_not_rerun(request.cls)
         if answer.verdict is Verdict.SERVED or (must_not_rerun and request.may_have_run()):
--- a/eiderpin/core/retained_answers.py
+++ b/eiderpin/core/retained_answers.py
@@ -109,7 +109,7 @@
     ) -> None:
         """Retain an answer in place of any earlier one of the job, and drop what is beyond the limits.
 
-        `is_delivered`: a client waited for it.
+        `is_delivered`: a client waited for it, or none wanted to.
         """
         job = stored_key(job)
         self._remove_answer(job)
--- a/eiderpin/policy/run_once_records.py
+++ b/eiderpin/policy/run_once_records.py
@@ -18,8 +18,8 @@
 
     SINGLE_USE_ID = 0  # its client has a new id for each request, so it does not ask by this one again
     REPEATABLE = 1  # the job may run again
-    DELIVERED = 2  # the job must not run again, and a client waited for the result
-    UNDELIVERED = 3  # the job must not run again, and no client waited for the result
+    DELIVERED = 2  # the job must not run again, and a client waited for the result, or none wanted to
+    UNDELIVERED = 3  # the job must not run again, and its clients had left before the result came
 
 
 def must_not_rerun(request_class: RequestClass) -> bool:
--- a/tests/test_run_once_records.py
+++ b/tests/test_run_once_records.py
@@ -122,6 +122,21 @@
     assert running.core.retained.size <= max_bytes
 
 
+def test_results_of_background_posts_give_way_to_one_that_its_client_has_not_got() -> None:
+    """Nobody waits for a background job, so its result is not what a lost client will ask for."""
+    running = Core(1 << 20)
+    attempt, client = running.begin("wanted")
+    running.core.detach(attempt.request, client)
+    running.core.ended(attempt, api.Outcome.DONE, bytes(LARGE))
+    for number in range(40):
+        request = Request("post", f"b{number}", b"/", b"", running.clock.at + DEADLINE_MS, background=True)
+        running.core.submit(request, None)
+        running.core.decide()
+        running.core.ended(running.await_attempt(request), api.Outcome.DONE, bytes(LARGE))
+        running.core.decide()
+    assert running.submit("wanted")[1].answers == [Answer(Verdict.SERVED, bytes(LARGE))]
+
+
 def test_a_post_whose_result_had_to_be_dropped_is_told_as_failed_and_counted() -> None:
     """Where not even such results have room, the id must stay all the same."""
     running = Core(1 << 20)
