Look at records that expire, and at a peer's, with less work for each

Each job that ended looked through all groups of ids for expired ones, and counted all answers; each id of a peer that was gone had its answer looked for and the limits checked.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -161,7 +161,7 @@
         if job_manager is None and not self._has_room_for_record(request, now):
             request.not_accepted = True
             self.counters.add("in.no_record_room")
-            wait = self.retained.ids.next_expiry_at() - now
+            wait = self.retained.ids.next_expiry_at - now
             self._finish(request, self.rejection(wait), EndReason.NO_RECORD_ROOM)
             return request
         try:
--- a/eiderpin/core/peer_jobs.py
+++ b/eiderpin/core/peer_jobs.py
@@ -294,6 +294,7 @@
             self._retain_as_failed(job, until, single_use_id=False)
         for job, until in peer.used_ids.items(now):
             self._retain_as_failed(job, until, single_use_id=True)
+        self.core.retained.drop_excess(now)
         for claim in list(self._claims.values()):
             self._forget_peer(claim, peer)
 
@@ -304,10 +305,10 @@
             return  # it goes on here
         if not self._must_not_rerun(job):
             return
-        if self.core.retained.get(job, now) is None:
+        if self.core.retained.ids.find(job, now) is None:
             self.core.counters.add("in.peer_jobs_lost")
         until = min(until, now + self.core.retention_ms(job[0], single_use_id))
-        self.core.retained.add_id(job, until, single_use_id, now)
+        self.core.retained.ids.add(job, until, single_use_id)
 
     def _forget_peer(self, claim: Claim, peer: Peer) -> None:
         """Go on with a claim after a peer is gone, which may have had its job."""
--- a/eiderpin/core/retained_answers.py
+++ b/eiderpin/core/retained_answers.py
@@ -15,7 +15,7 @@
 from enum import Enum
 
 from eiderpin.core.requests import FAILED, Answer, Verdict
-from eiderpin.core.run_once_ids import JobKey, RunOnceIds, stored_key
+from eiderpin.core.run_once_ids import IdGroup, JobKey, RunOnceIds, stored_key
 from eiderpin.policy.run_once_records import ResultPriority, result_priority
 
 logger = logging.getLogger("eiderpin")
@@ -55,11 +55,11 @@
         self._answers: dict[ResultPriority, OrderedDict[JobKey, RetainedAnswer]] = {
             priority: OrderedDict() for priority in ResultPriority
         }
-        self._answer_bytes = self._result_bytes = 0
+        self._answer_count = self._answer_bytes = self._result_bytes = 0
 
     def __len__(self) -> int:
         """Return the number of answers."""
-        return sum(len(answers) for answers in self._answers.values())
+        return self._answer_count
 
     @property
     def size(self) -> int:
@@ -86,14 +86,16 @@
                 return retained
         return None
 
-    def items(self, now: float) -> Iterator[tuple[JobKey, RetainedAnswer]]:
-        """Return all jobs of which something is retained, each with that."""
+    def items(self, now: float) -> Iterator[tuple[JobKey, IdGroup | RetainedAnswer]]:
+        """Return all jobs of which something is retained, each with its time and whose id it is.
+
+        Jobs that must not run again come last.
+        """
         for answers in self._answers.values():
-            yield from ((job, retained) for job, retained in answers.items() if retained.until > now)
-        for job, group in self.ids.items(now):
-            answer = self._answer_of(job)
-            if answer is None or answer.until <= now:
-                yield job, RetainedAnswer(FAILED, group.until, group.single_use_id)
+            for job, retained in answers.items():
+                if retained.until > now and self.ids.find(job, now) is None:
+                    yield job, retained
+        yield from self.ids.items(now)
 
     def jobs_with_answers(self) -> list[JobKey]:
         """Return the jobs whose answers are retained, those that may be needed most last."""
@@ -119,12 +121,7 @@
             priority = result_priority(must_not_rerun, retained.single_use_id, is_delivered)
             self._answers[priority][job] = retained
             self._count(retained, 1)
-        self._drop_excess(now)
-
-    def add_id(self, job: JobKey, until: float, single_use_id: bool, now: float) -> None:
-        """Keep a job from running again until this time; a retained answer stays."""
-        self.ids.add(job, until, single_use_id)
-        self._drop_excess(now)
+        self.drop_excess(now)
 
     def renew(self, job: JobKey, until: float) -> None:
         """Retain what there is of a job that must not run again until a later time."""
@@ -136,7 +133,7 @@
                 answers.move_to_end(key)
         self.ids.add(key, until)
 
-    def _drop_excess(self, now: float) -> None:
+    def drop_excess(self, now: float) -> None:
         """Drop ids and answers whose time is over, and the answers that are beyond the limits."""
         self.ids.expire(now)
         for priority, answers in self._answers.items():
@@ -182,5 +179,6 @@
     def _count(self, retained: RetainedAnswer, sign: int) -> None:
         """Add an answer to the sums, or with `sign` -1 subtract it."""
         result_bytes = len(retained.answer.result)
+        self._answer_count += sign
         self._result_bytes += sign * result_bytes
         self._answer_bytes += sign * (result_bytes + ANSWER_OVERHEAD_BYTES)
--- a/eiderpin/core/run_once_ids.py
+++ b/eiderpin/core/run_once_ids.py
@@ -52,6 +52,7 @@
         self.size_bytes = 0
         self._ids: dict[str, dict[str, IdGroup]] = {}  # by class and id
         self._groups: dict[tuple[str, int, bool], IdGroup] = {}  # by class, number of the span, and kind
+        self.next_expiry_at = math.inf  # when the next ids expire
 
     def __len__(self) -> int:
         return sum(len(ids) for ids in self._ids.values())
@@ -76,6 +77,7 @@
         group = self._groups.get(key)
         if group is None:
             group = self._groups[key] = IdGroup(number * GROUP_SPAN_MS, single_use_id)
+            self.next_expiry_at = min(self.next_expiry_at, group.until)
         return group
 
     def find(self, job: JobKey, now: float) -> IdGroup | None:
@@ -92,6 +94,8 @@
 
     def expire(self, now: float) -> int:
         """Remove the ids whose time is over; return how many."""
+        if now < self.next_expiry_at:
+            return 0
         expired = [key for key, group in self._groups.items() if group.until <= now]
         removed = 0
         for key in expired:
@@ -101,12 +105,9 @@
                     del ids[unique]
                     self.size_bytes -= id_bytes((key[0], unique))
                     removed += 1
+        self.next_expiry_at = min((group.until for group in self._groups.values()), default=math.inf)
         return removed
 
-    def next_expiry_at(self) -> float:
-        """Return when the next ids expire; infinity if there are none."""
-        return min((group.until for group in self._groups.values()), default=math.inf)
-
     def items(self, now: float) -> Iterator[tuple[JobKey, IdGroup]]:
         """Return all ids whose time is not over, each with its group."""
         for cls, ids in self._ids.items():
