Do not load hashlib in a process without a Gearman front

Each dispatcher took 3.6 MB more since ids are remembered apart from answers: on a limit of 32 MB that is what floods need. Cause: `core/run_once_ids.py` imported hashlib, and with it OpenSSL's library, for the hash of ids that are longer than any HTTP client's may be. It is imported where a long id comes now, which only Gearman clients have, whose front needs it anyway. The test of modules that are not loaded looks for it, and failed before.

--- a/eiderpin/core/run_once_ids.py
+++ b/eiderpin/core/run_once_ids.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
 import sys
 from collections.abc import Iterator
@@ -35,6 +34,8 @@
     cls, unique = job
     if len(unique) <= MAX_ID_LENGTH:
         return job
+    import hashlib  # not at the top: it takes 3.6 MB, and only Gearman clients have such ids
+
     digest = hashlib.blake2b(unique.encode("utf-8", "surrogatepass"), digest_size=16)
     return cls, f"blake2b:{digest.hexdigest()}"
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -109,7 +109,7 @@
 off = ("eiderpin.jobs", "eiderpin.durable", "eiderpin.store", "eiderpin.fleet", "eiderpin.parts",
        "eiderpin.net.gearman", "eiderpin.net.agent_check", "eiderpin.net.handover",
        "eiderpin.net.management", "eiderpin.net.static_list", "eiderpin.cli", "msgspec", "zstandard",
-       "crc32c", "click")
+       "crc32c", "click", "_hashlib")
 print(sorted(m for m in sys.modules if m.startswith(off)), threading.active_count())
 """
         folder = os.environ.get("TMPDIR", "/tmp")
