Forget workers that left the list a minute ago and have no attempt

Cause: a worker was deleted only if it had named its classes (a connection of the Gearman front); any other stayed in the decisions, in the core's endpoints, and as an empty list of idle connections, in case its name came back.

Why the fix works: a worker is forgotten 60 s after it left, or as long after its last attempt (`policy/ departed_workers.py`); who comes back sooner is the one that left, with what was learned of it. The endpoint follows once the decisions have forgotten the name, so that nothing they send lacks one.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -35,7 +35,7 @@
 from eiderpin.core.run_once_ids import JobKey, id_bytes
 from eiderpin.core.shutdown import MAX_STALL_MS
 from eiderpin.core.slot_table import SlotTable, TableFull
-from eiderpin.policy import run_once_records
+from eiderpin.policy import departed_workers, run_once_records
 
 if TYPE_CHECKING:
     from eiderpin.core.peer_jobs import PeerJobs
@@ -44,6 +44,7 @@
 ANSWER_MARGIN_MS = 15.0
 # The last part of a worker's drain grace goes unused: the process may stall between the check and the write.
 DRAIN_GRACE_MARGIN_MS = MAX_STALL_MS + 50.0
+DEPARTED_CHECK_INTERVAL_MS = 10_000.0  # between checks for workers that left the list long ago
 DEFAULT_RETRY_WAIT_MS = 500.0  # advised to a rejected client where the decision module names no wait
 
 
@@ -90,6 +91,7 @@
         # Where no front has clients that resubmit, only the ids of jobs are retained and not their results.
         self.keeps_results = True
         self.retained = RetainedAnswers()
+        self._next_departed_check_at = 0.0
         self._open_record_bytes = 0  # that the ids of open jobs will need once these have ended
         self._last_wire_number = 0
         self.peer_jobs: PeerJobs | None = None  # None: no other process can run beside this one
@@ -446,6 +448,23 @@
         self.listed = self.listed or kind is not api.ListKind.FAILED
         is_stored = kind is api.ListKind.STORED
         self._events.append(api.Membership(kind, listed, by_discovery, is_to_be_confirmed=is_stored))
+        self._forget_departed(now)
+
+    def _forget_departed(self, now: float) -> None:
+        """Forget the workers that have left the list and that the decision module has forgotten."""
+        if now < self._next_departed_check_at:
+            return
+        self._next_departed_check_at = now + DEPARTED_CHECK_INTERVAL_MS
+        departed = [e for e in self.endpoints.values() if self._is_departed(e, now)]
+        for endpoint in departed:
+            del self.endpoints[endpoint.name]
+
+    def _is_departed(self, endpoint: Endpoint, now: float) -> bool:
+        """Return whether a worker left the list long ago; a front forgets its own when they leave."""
+        if endpoint.is_listed or endpoint.withdrawn_at is None or endpoint.listed.classes is not None:
+            return False
+        is_long_ago = endpoint.withdrawn_at <= now - departed_workers.RETENTION_MS
+        return is_long_ago and endpoint.name not in self.module.workers
 
     def list_source_changed(self, link: WorkerLink) -> None:
         """Note that another discovery is asked from now on, which has to confirm the workers of this link."""
--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -27,6 +27,7 @@
 from zlib import crc32
 
 from eiderpin import interface as api
+from eiderpin.policy.departed_workers import DepartedWorkers
 from eiderpin.policy.list_validity import ListValidity
 from eiderpin.policy.list_watch import ListWatch
 from eiderpin.policy.recent_attempts import REPORT_AGE_MS, RecentAttempts
@@ -433,6 +434,7 @@
         self.actions: list[api.Action] = []
         self.classes = {c.name: c for c in settings.classes}
         self.workers: dict[str, Worker] = {}
+        self.departed = DepartedWorkers(self.workers)
         self.list_validity = ListValidity()
         self.shapes: dict[str, Shape] = {}
         # Token buckets of the tenants: (requests left, when that was so, requests regained per ms).
@@ -529,7 +531,8 @@
             for worker in list(self.workers.values()):
                 if worker.name not in names:
                     self.set_state(worker, api.WorkerState.GONE)
-                    self.drop_if_gone(worker)
+                    self.departed.update(worker, self.now)
+        self.departed.expire(self.now)
         if event.by_discovery and event.kind is not api.ListKind.STORED:
             self.list_watch.record_answer()
             self.update_ready_workers(self.list_validity.confirm())
@@ -567,7 +570,7 @@
             worker.cold_until = entry.born + self.settings.warm_up
         self.learn_rating(worker, entry.rating)
         self.set_state(worker, entry.state)
-        self.drop_if_gone(worker)
+        self.departed.update(worker, self.now)
 
     def assign_pools(self, worker: Worker) -> None:
         """Put a worker into the pools of all kinds of round that may draw it.
@@ -601,16 +604,6 @@
             for queued in queue.in_time + queue.late:
                 self.enqueue_job(queued[-1])
 
-    def drop_if_gone(self, worker: Worker) -> None:
-        """Delete a worker that is no longer listed, has no open attempt, and had named its classes.
-
-        Such a worker is one connection of a front. Its name is not used again, and these names would
-        accumulate.
-        """
-        gone = worker.state is api.WorkerState.GONE and worker.classes is not None
-        if gone and not worker.open_attempts and self.workers.get(worker.name) is worker:
-            del self.workers[worker.name]
-
     def learn_rating(self, worker: Worker, rating: float) -> None:
         """Learn a worker's size from its rating and, where ratings are live, its present load.
 
@@ -1407,7 +1400,7 @@
         if not event.outcome.never_ran:
             job.possible_runs.append(attempt)
         self.learn_outcome(attempt, event)
-        self.drop_if_gone(worker)
+        self.departed.update(worker, self.now)
         if event.final or job.ended:
             if not job.ended:
                 if event.outcome is api.Outcome.DONE:
--- a/eiderpin/net/workers.py
+++ b/eiderpin/net/workers.py
@@ -418,6 +418,8 @@
         idle = self.idle.get(connection.endpoint.name, [])
         if connection in idle:
             idle.remove(connection)
+        if not idle:
+            self.idle.pop(connection.endpoint.name, None)  # the worker's name may never return
 
     # -- callbacks
 
--- a/tests/test_memory_growth.py
+++ b/tests/test_memory_growth.py
@@ -6,7 +6,14 @@
 
 from benchmarks.growth.decisions import Reporting, Scenario, measure
 from benchmarks.growth.trend import Sample, find_trend
+from eiderpin import interface as api
+from eiderpin.core import dispatcher
+from eiderpin.decide import Dispatcher
+from eiderpin.policy.departed_workers import RETENTION_MS
 from eiderpin.policy.recent_attempts import REPORT_AGE_MS, RecentAttempts
+from tests.conftest import entry, listed, make_settings
+from tests.test_core import worker_entry
+from tests.test_run_once_records import Core
 
 
 @pytest.mark.parametrize("rejects", [True, False], ids=["with rejections", "without rejections"])
@@ -17,6 +24,62 @@
     assert not trend.grows, trend
 
 
+def test_decisions_forget_workers_whose_names_do_not_return() -> None:
+    """Each worker that left the list was remembered for the life of the process, some 3 KB each."""
+    trend = find_trend(measure(Scenario(Reporting.NONE, True, True, seed=1), 9000))
+    assert not trend.grows, trend
+
+
+def list_workers(decisions: Dispatcher, now: float, *names: str) -> None:
+    """Report a complete list of these workers to the decisions."""
+    decisions.handle(now, [listed([entry(name) for name in names])])
+
+
+def test_a_worker_that_comes_back_soon_is_the_one_that_left() -> None:
+    """A list that lacks a worker for a moment must not make all forget what was learned of it."""
+    decisions = Dispatcher(make_settings(), 1)
+    list_workers(decisions, 1000.0, "w1", "w2")
+    known = decisions.workers["w1"]
+    list_workers(decisions, 2000.0, "w2")
+    list_workers(decisions, 2000.0 + RETENTION_MS - 5.0, "w1", "w2")
+    list_workers(decisions, 2000.0 + RETENTION_MS + 5.0, "w1", "w2")
+    assert decisions.workers["w1"] is known
+    left_at = 3000.0 + RETENTION_MS
+    list_workers(decisions, left_at, "w2")
+    list_workers(decisions, left_at + RETENTION_MS + 5.0, "w2")
+    assert list(decisions.workers) == ["w2"]
+
+
+def test_a_worker_that_left_is_remembered_while_it_has_an_attempt() -> None:
+    """What it reports later must still find its worker."""
+    decisions = Dispatcher(make_settings(), 1)
+    list_workers(decisions, 1000.0, "w1")
+    decisions.handle(1010.0, [api.Request(1, "pay", 500_000.0)])
+    sent = [action for action in decisions.handle(1100.0, []) if isinstance(action, api.Send)]
+    assert sent or decisions.workers["w1"].open_attempts
+    for minute in range(1, 4):
+        list_workers(decisions, 2000.0 + minute * (RETENTION_MS + 5.0), "w2")
+        assert "w1" in decisions.workers
+    ended = api.AttemptEnded(1, 0, "w1", api.Outcome.DONE, 100.0, True)
+    decisions.handle(300_000.0, [ended])
+    list_workers(decisions, 300_000.0 + 2 * RETENTION_MS, "w2")
+    assert "w1" not in decisions.workers
+
+
+def test_the_dispatcher_forgets_endpoints_whose_names_do_not_return() -> None:
+    """They were kept for the life of the process; a discovery that invents names filled the memory."""
+    running = Core(1 << 20)
+    for number in range(400):
+        running.advance_clock(1000.0)
+        names = [f"new-{number}", f"new-{number + 1}"]
+        workers = [(worker_entry(name), name) for name in names]
+        running.core.apply_worker_list(running.link, api.ListKind.COMPLETE, workers)
+        running.core.decide()
+    most = (RETENTION_MS + 2 * dispatcher.DEPARTED_CHECK_INTERVAL_MS) / 1000.0
+    assert len(running.core.endpoints) <= most + 2
+    running.run("still served", b"r")
+
+
 def test_ended_attempts_are_remembered_for_no_longer_than_a_report_may_be_old() -> None:
     """They are dropped at the next end, and not only when a load is observed."""
     recent = RecentAttempts()
