Move the records of jobs from the dispatcher to a module of their own

That is `core/job_records.py` now, which the dispatcher and the peers' jobs use; the tests advance their clocks by one function. No behaviour has changed.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -19,6 +19,7 @@
 from eiderpin.core.deadlines import Clock, Deadline, Deadlines
 from eiderpin.core.durability import DurableJobManager, JobMismatchError
 from eiderpin.core.invariants import must
+from eiderpin.core.job_records import JobRecords
 from eiderpin.core.learned import Learned
 from eiderpin.core.request_log import EndReason
 from eiderpin.core.requests import (
@@ -31,11 +32,11 @@
     Verdict,
     WorkerLink,
 )
-from eiderpin.core.retained_answers import RetainedAnswer, RetainedAnswers
-from eiderpin.core.run_once_ids import JobKey, id_bytes
+from eiderpin.core.retained_answers import RetainedAnswer
+from eiderpin.core.run_once_ids import JobKey
 from eiderpin.core.shutdown import MAX_STALL_MS
 from eiderpin.core.slot_table import SlotTable, TableFull
-from eiderpin.policy import departed_workers, run_once_records
+from eiderpin.policy import departed_workers
 
 if TYPE_CHECKING:
     from eiderpin.core.peer_jobs import PeerJobs
@@ -88,11 +89,8 @@
         self.listed = False  # whether any list of workers has been received
         self._by_unique: dict[tuple[str, str], Request] = {}
         self._by_wire_id: dict[str, Request] = {}
-        # Where no front has clients that resubmit, only the ids of jobs are retained and not their results.
-        self.keeps_results = True
-        self.retained = RetainedAnswers()
+        self.records = JobRecords(self.classes, clock)
         self._next_departed_check_at = 0.0
-        self._open_record_bytes = 0  # that the ids of open jobs will need once these have ended
         self._last_wire_number = 0
         self.peer_jobs: PeerJobs | None = None  # None: no other process can run beside this one
         self.job_manager: DurableJobManager | None = None  # None: no class of jobs is durable
@@ -128,7 +126,7 @@
             self._bound_deadline(request)
         if request.unique:
             open_request = self._by_unique.get(job_key)
-            retained = self.retained.get(job_key, now)
+            retained = self.records.retained.get(job_key, now)
             is_taken = (
                 open_request.single_use_id
                 if open_request is not None
@@ -149,7 +147,7 @@
                 open_request.background = open_request.background or request.background
                 return open_request
             if retained is not None:
-                self._note_resubmission(request, retained, now)
+                self._note_resubmission(request, retained)
                 request.ended = True
                 if waiter is not None and job_manager is not None:
                     job_manager.deliver_stored_answer(
@@ -160,11 +158,10 @@
                 return request
         if waiter is not None:
             request.waiters.append(waiter)
-        if job_manager is None and not self._has_room_for_record(request, now):
+        if job_manager is None and not self.records.has_room_for(request):
             request.not_accepted = True
             self.counters.add("in.no_record_room")
-            wait = self.retained.ids.next_expiry_at - now
-            self._finish(request, self.rejection(wait), EndReason.NO_RECORD_ROOM)
+            self._finish(request, self.rejection(self.records.ms_until_room()), EndReason.NO_RECORD_ROOM)
             return request
         try:
             request.id = self.requests.add(request)
@@ -185,67 +182,28 @@
             self.begin(request)
         return request
 
-    # -- records of jobs that must not run again
-
-    def must_not_rerun(self, cls: str) -> bool:
-        """Return whether a job of this class must not run again once it may have run."""
-        request_class = self.classes.get(cls)
-        return request_class is not None and run_once_records.must_not_rerun(request_class)
-
-    def retention_ms(self, cls: str, single_use_id: bool) -> float:
-        """Return for how long the record of an ended job of a known class is retained."""
-        return run_once_records.retention_ms(self.classes[cls], single_use_id)
-
-    def _note_resubmission(self, request: Request, retained: RetainedAnswer, now: float) -> None:
+    def _note_resubmission(self, request: Request, retained: RetainedAnswer) -> None:
         """Note that a job was submitted again after its end: its client may come once more."""
         self.counters.add("in.kept")
         if retained.answer.verdict is not Verdict.SERVED:
             self.counters.add("in.kept_failed")
             request_log.request_event("submitted again, and not run again", request, logging.INFO)
         job = (request.cls, request.unique)
-        if self.renew_record(job, now) and self.peer_jobs is not None:
+        if self.records.renew(job) and self.peer_jobs is not None:
             self.peer_jobs.tell_renewal(job)
 
-    def renew_record(self, job: JobKey, now: float) -> bool:
-        """Retain the record of a job that must not run again for as long as if it had ended now.
-
-        Returns False if there is no such record.
-        """
-        retained = self.retained.get(job, now)
-        if retained is None or retained.single_use_id or not self.must_not_rerun(job[0]):
-            return False
-        self.retained.renew(job, now + self.retention_ms(job[0], False))
-        return True
-
-    def _has_room_for_record(self, request: Request, now: float) -> bool:
-        """Return whether the record of a new request can be retained once that has ended."""
-        needed = self._record_bytes_of(request)
-        if not needed or request.is_relay:
-            return True
-        self.retained.ids.expire(now)
-        held = self.retained.ids.size_bytes + self._open_record_bytes
-        if self.peer_jobs is not None:
-            held += self.peer_jobs.record_bytes(now)
-        return run_once_records.may_accept_run_once(held, needed, self.retained.max_bytes)
-
-    def _record_bytes_of(self, request: Request) -> int:
-        """Return the memory that the record of a request will take; 0 if there will be none here."""
-        if not request.unique or request.job or not self.must_not_rerun(request.cls):
-            return 0
-        return id_bytes((request.cls, request.unique))
-
     def _register_unique(self, request: Request) -> None:
         """Let resubmissions find an open request, if its client gave it an id."""
         if request.unique and self._by_unique.get((request.cls, request.unique)) is not request:
             self._by_unique[request.cls, request.unique] = request
-            self._open_record_bytes += self._record_bytes_of(request)
+            self.records.count_open(request)
 
     def _forget_unique(self, request: Request) -> bool:
         """Let resubmissions no longer find a request; return whether they did."""
         if not request.unique or self._by_unique.get((request.cls, request.unique)) is not request:
             return False
         del self._by_unique[request.cls, request.unique]
-        self._open_record_bytes -= self._record_bytes_of(request)
+        self.records.count_closed(request)
         return True
 
     # -- how a request begins
@@ -734,10 +692,10 @@
             self._events.append(api.RequestGone(request.id))
             self._finish(request, Answer(Verdict.SERVED, result), EndReason.LATE_RESULT)
             return
-        retained = self.retained.get((request.cls, request.unique), self.clock.now())
+        retained = self.records.retained.get((request.cls, request.unique), self.clock.now())
         if request.unique and retained is not None and retained.answer == FAILED:
             # The request has been answered as failed, but a resubmission can still get the result.
-            self._retain(request, Answer(Verdict.SERVED, result), is_delivered=False)
+            self.records.retain(request, Answer(Verdict.SERVED, result), is_delivered=False)
 
     # -- the decision module
 
@@ -917,7 +875,7 @@
     def _deliver(self, request: Request, answer: Answer) -> None:
         """Give the final answer to all waiting clients, and retain it for resubmissions."""
         if self._forget_unique(request) and not request.job:
-            self._retain(request, answer, is_delivered=bool(request.waiters) or request.background)
+            self.records.retain(request, answer, is_delivered=bool(request.waiters) or request.background)
             if self.peer_jobs is not None:
                 self.peer_jobs.note_end(request)
         waiters, request.waiters = request.waiters, []
@@ -942,22 +900,6 @@
         if self._by_wire_id.get(request.wire_id) is request:
             del self._by_wire_id[request.wire_id]
 
-    def _retain(self, request: Request, answer: Answer, is_delivered: bool = True) -> None:
-        """Retain the answer for resubmissions, where it matters to them.
-
-        That is a result, or the failure of a job that may have run and must not run again. `is_delivered`: a
-        client waited for it, or none wanted to.
-        """
-        must_not_rerun = self.must_not_rerun(request.cls)
-        if answer.verdict is Verdict.SERVED or (must_not_rerun and request.may_have_run()):
-            if answer.verdict is not Verdict.SERVED or not self.keeps_results:
-                answer = FAILED
-            now = self.clock.now()
-            until = now + self.retention_ms(request.cls, request.single_use_id)
-            retained = RetainedAnswer(answer, until, request.single_use_id)
-            job = (request.cls, request.unique)
-            self.retained.add(job, retained, now, must_not_rerun, is_delivered)
-
 
 def _ignore_request(request: Request) -> None:
     """Do nothing: nobody counts the memory of requests."""
--- a/eiderpin/core/peer_jobs.py
+++ b/eiderpin/core/peer_jobs.py
@@ -173,6 +173,7 @@
         self._claims: dict[int, Claim] = {}
         self._claims_by_request: dict[Request, Claim] = {}
         self._last_number = 0
+        core.records.peer_bytes = self.record_bytes
 
     def next_number(self) -> int:
         """Return the number of the next message that a peer answers."""
@@ -186,8 +187,8 @@
         if peer.takes_claims:
             jobs = [*self._own_jobs(), *(job for other in self._peers for job in self._jobs_left(other))]
             peer.channel.tell_jobs(jobs)
-            if self.core.keeps_results:
-                peer.uncopied.extend(self.core.retained.jobs_with_answers())
+            if self.core.records.keeps_results:
+                peer.uncopied.extend(self.core.records.retained.jobs_with_answers())
         if peer.takes_used_ids:
             peer.channel.tell_used_ids(self._own_used_ids())
         self._peers.append(peer)
@@ -197,7 +198,7 @@
         now = self.core.clock.now()
         used = [
             (job, retained.until - now)
-            for job, retained in self.core.retained.items(now)
+            for job, retained in self.core.records.retained.items(now)
             if retained.single_use_id and self._must_not_rerun(job)
         ]
         used += [
@@ -244,7 +245,7 @@
     def _own_jobs(self) -> Iterator[tuple[JobKey, float]]:
         """Return our jobs that must not begin elsewhere, as `PeerChannel.tell_jobs` wants them."""
         now = self.core.clock.now()
-        for job, retained in self.core.retained.items(now):
+        for job, retained in self.core.records.retained.items(now):
             if not retained.single_use_id:
                 yield job, retained.until - now
         for request in self.core.requests.all():
@@ -267,7 +268,7 @@
         """
         if job[0] not in self.core.classes:
             return told_until
-        return told_until + self.core.retention_ms(job[0], single_use_id) - RETENTION_MS
+        return told_until + self.core.records.retention_ms(job[0], single_use_id) - RETENTION_MS
 
     def on_jobs(self, peer: Peer, jobs: list[tuple[JobKey, float]]) -> None:
         """Note jobs that must not begin here, as the peer tells them."""
@@ -294,7 +295,7 @@
             self._retain_as_failed(job, until, single_use_id=False)
         for job, until in peer.used_ids.items(now):
             self._retain_as_failed(job, until, single_use_id=True)
-        self.core.retained.drop_excess(now)
+        self.core.records.retained.drop_excess(now)
         for claim in list(self._claims.values()):
             self._forget_peer(claim, peer)
 
@@ -305,10 +306,10 @@
             return  # it goes on here
         if not self._must_not_rerun(job):
             return
-        if self.core.retained.ids.find(job, now) is None:
+        if self.core.records.retained.ids.find(job, now) is None:
             self.core.counters.add("in.peer_jobs_lost")
-        until = min(until, now + self.core.retention_ms(job[0], single_use_id))
-        self.core.retained.ids.add(job, until, single_use_id)
+        until = min(until, now + self.core.records.retention_ms(job[0], single_use_id))
+        self.core.records.retained.ids.add(job, until, single_use_id)
 
     def _forget_peer(self, claim: Claim, peer: Peer) -> None:
         """Go on with a claim after a peer is gone, which may have had its job."""
@@ -325,7 +326,7 @@
 
     def _must_not_rerun(self, job: JobKey) -> bool:
         """Return whether a job of this class must not run again once it may have run."""
-        return self.core.must_not_rerun(job[0])
+        return self.core.records.must_not_rerun(job[0])
 
     def _holder_of(self, job: JobKey, other_than: Peer | None = None) -> Peer | None:
         """Return the peer that has the job, or None."""
@@ -447,7 +448,7 @@
         request = self.core.open_request(job)
         if request is not None and self._yields_to(peer, request):
             request = None
-        retained = self.core.retained.get(job, self.core.clock.now())
+        retained = self.core.records.retained.get(job, self.core.clock.now())
         if request is None and retained is None and self._holder_of(job, other_than=peer) is not None:
             request = self._relay(job, background)
         if request is None and retained is None:
@@ -463,7 +464,7 @@
             self.core.add_waiter(request, waiter, background)
         elif retained is not None:
             waiter.answer(Request(*job, b"", b"", 0.0, may_have_run_at_peer=True), retained.answer)
-            if self.core.renew_record(job, self.core.clock.now()):
+            if self.core.records.renew(job):
                 self.tell_renewal(job)
 
     def _yields_to(self, peer: Peer, request: Request) -> bool:
@@ -498,12 +499,12 @@
         """A job has ended at the peer, or was submitted again there after its end."""
         now = self.core.clock.now()
         if must_not_rerun and peer.jobs.has(job, now) and job[0] in self.core.classes:
-            until = now + self.core.retention_ms(job[0], False)
+            until = now + self.core.records.retention_ms(job[0], False)
             peer.jobs.add_ended(job, until, now, self._must_not_rerun(job))
         else:
             peer.jobs.remove(job)
             if must_not_rerun:
-                self.core.renew_record(job, now)
+                self.core.records.renew(job)
         for other in self._others(peer):
             other.channel.release(job, must_not_rerun)
 
@@ -523,14 +524,18 @@
         """Tell the peers that a request has ended here, once its answer is retained."""
         job = job_of(request)
         now = self.core.clock.now()
-        retained = self.core.retained.get(job, now)
+        retained = self.core.records.retained.get(job, now)
         is_retained = retained is not None
         if self._has_used_id(request):
             self._tell_used_id(request, retained.until - now if retained is not None else 0.0)
         for peer in self._peers:
             if request.is_resubmittable and peer.takes_claims:
                 peer.channel.release(job, is_retained)
-            if retained is not None and retained.answer.verdict is Verdict.SERVED and self.core.keeps_results:
+            if (
+                retained is not None
+                and retained.answer.verdict is Verdict.SERVED
+                and self.core.records.keeps_results
+            ):
                 peer.uncopied.append(job)
 
     def answers_to_copy(self, peer: Peer, max_bytes: int) -> Iterator[tuple[JobKey, RetainedAnswer]]:
@@ -538,7 +543,7 @@
         now = self.core.clock.now()
         while peer.uncopied and max_bytes > 0:
             job = peer.uncopied.popleft()
-            retained = self.core.retained.get(job, now)
+            retained = self.core.records.retained.get(job, now)
             if retained is not None and retained.answer.verdict is Verdict.SERVED:
                 max_bytes -= len(retained.answer.result)
                 yield job, retained
@@ -549,7 +554,7 @@
             peer.jobs.remove(job)
             until = self._record_until(job, retained.until, retained.single_use_id)
             retained = replace(retained, until=until)
-            self.core.retained.add(
+            self.core.records.retained.add(
                 job, retained, self.core.clock.now(), self._must_not_rerun(job), is_delivered=False
             )
             request = self.core.open_request(job)
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -101,8 +101,8 @@
         inherits_socket = config.inherited is not None
         if config.inherited is not None:
             listen_on = socket.socket(fileno=config.inherited)
-        self.core.keeps_results = config.gearman is not None
-        self.core.retained.max_bytes = int(RETAINED_MEMORY_SHARE * config.memory_mb * (1 << 20))
+        self.core.records.keeps_results = config.gearman is not None
+        self.core.records.retained.max_bytes = int(RETAINED_MEMORY_SHARE * config.memory_mb * (1 << 20))
         self.workers = HttpWorkers(self.loop, self.core, "service.internal", workers, self.memory)
         self.started_at = self.clock.now()
         self.ledger = self.open_ledger(config.durable) if config.durable is not None else None
@@ -564,7 +564,7 @@
             self.counters.counts["discovery.held_back"] = len(self.core.module.list_validity.held_back)
         self.counters.counts["memory.held_bytes"] = self.memory.held_bytes
         self.counters.counts["memory.dropped"] = self.memory.drops
-        retained = self.core.retained
+        retained = self.core.records.retained
         for reason, count in retained.drops.items():
             self.counters.counts[f"retained.dropped.{reason.value}"] = count
         self.counters.counts["retained.ids"] = len(retained.ids)
@@ -590,7 +590,7 @@
 
     def make_limit_events(self) -> list[LimitEvent]:
         """The log events that tell of memory limits."""
-        retained = self.core.retained
+        retained = self.core.records.retained
         return [
             LimitEvent(
                 "memory for what peers send is used up",
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -55,6 +55,16 @@
     def endpoint_changed(self, endpoint: Endpoint) -> None: ...
 
 
+def advance(clock: ManualClock, deadlines: Deadlines, dispatcher: core.Dispatcher, ms: float) -> None:
+    """Advance the clock, running the deadlines and decisions that become due."""
+    until = clock.at + ms
+    while deadlines.next_at() <= until:
+        clock.at = max(clock.at, deadlines.next_at())
+        deadlines.run_due(clock.at)
+        dispatcher.decide()
+    clock.at = until
+
+
 class Client:
     """A waiting client that records its answers."""
 
@@ -101,12 +111,7 @@
 
     def advance_clock(self, ms: float) -> None:
         """Advance the clock, running the deadlines and decisions that become due."""
-        until = self.clock.at + ms
-        while self.deadlines.next_at() <= until:
-            self.clock.at = max(self.clock.at, self.deadlines.next_at())
-            self.deadlines.run_due(self.clock.at)
-            self.core.decide()
-        self.clock.at = until
+        advance(self.clock, self.deadlines, self.core, ms)
 
     def submit(self, cls: str, unique: str, wait: float = 5000.0) -> tuple[Request, Client]:
         """Submit a request that is due in `wait` ms; return it and the client that waits for it."""
@@ -171,9 +176,9 @@
         self.assertEqual(self.submit("post", "a")[1].answers, [])
         for number in range(retained_answers.MAX_RETAINED_ANSWERS + 10):
             request = Request("look", f"n{number}", b"/", b"", 0.0)
-            self.core._retain(request, Answer(Verdict.SERVED, b"xy"))
-        self.assertEqual(len(self.core.retained), retained_answers.MAX_RETAINED_ANSWERS)
-        self.assertEqual(self.core.retained.size, 2 * retained_answers.MAX_RETAINED_ANSWERS)
+            self.core.records.retain(request, Answer(Verdict.SERVED, b"xy"))
+        self.assertEqual(len(self.core.records.retained), retained_answers.MAX_RETAINED_ANSWERS)
+        self.assertEqual(self.core.records.retained.size, 2 * retained_answers.MAX_RETAINED_ANSWERS)
 
     def test_rejected_jobs_can_be_resubmitted_but_jobs_that_may_have_run_are_not_run_again(self) -> None:
         """If a rejection were retained, a resubmission would never run. If the failure of a job that may have
--- a/tests/test_peer_jobs.py
+++ b/tests/test_peer_jobs.py
@@ -291,7 +291,7 @@
                 assert len(waiting.client.answers) == 1, (self.seed, waiting)
         for process in self.alive():
             assert [r for r in process.core.requests.all() if not r.ended] == [], self.seed
-            assert process.core._open_record_bytes == 0, self.seed
+            assert process.core.records.open_bytes == 0, self.seed
 
 
 @pytest.mark.parametrize("processes", [2, 3])
--- a/tests/test_run_once_records.py
+++ b/tests/test_run_once_records.py
@@ -25,7 +25,7 @@
 from eiderpin.policy.run_once_records import RETENTION_MS, ResultPriority, result_priority, retention_ms
 from tests.crossing import running_harness
 from tests.standins import GearmanPeer, HttpWorker, Program, http_call, running_program, wait_for
-from tests.test_core import Client, Link, ManualClock, worker_entry
+from tests.test_core import Client, Link, ManualClock, advance, worker_entry
 from tests.test_gearman_limits import REQ, kinds
 from tests.test_peer_jobs import SINGLE_SHOT, FakeLink, Site
 
@@ -45,7 +45,7 @@
             max_wait_advice=2000, parallel_attempts=True,
         )  # fmt: skip
         self.core = core.Dispatcher(settings, 1, self.clock, self.deadlines, self.counters)
-        self.core.retained.max_bytes = max_bytes
+        self.core.records.retained.max_bytes = max_bytes
         self.link = Link()
         workers = [(worker_entry(name), name) for name in ("w1", "w2")]
         self.core.apply_worker_list(self.link, api.ListKind.COMPLETE, workers)
@@ -62,12 +62,7 @@
 
     def advance_clock(self, ms: float) -> None:
         """Advance the clock, running what becomes due."""
-        until = self.clock.at + ms
-        while self.deadlines.next_at() <= until:
-            self.clock.at = max(self.clock.at, self.deadlines.next_at())
-            self.deadlines.run_due(self.clock.at)
-            self.core.decide()
-        self.clock.at = until
+        advance(self.clock, self.deadlines, self.core, ms)
 
     def runs(self, unique: str) -> int:
         """Return how often a job of this id was sent to a worker."""
@@ -97,7 +92,7 @@
         """End so many posts of others, as the core does, without playing each of them at a worker."""
         for number in range(count):
             request = Request("post", f"other-{number}", b"/", b"", 0.0, single_use_id=by_http)
-            self.core._retain(request, Answer(Verdict.SERVED, bytes(result_bytes)))
+            self.core.records.retain(request, Answer(Verdict.SERVED, bytes(result_bytes)))
 
 
 @pytest.mark.parametrize("by_http", [True, False], ids=["others by HTTP", "others by Gearman"])
@@ -119,7 +114,7 @@
     running.advance_clock(1000)
     assert running.runs("finish-17") == 1
     assert again.answers == [Answer(Verdict.SERVED, b"ranked")]  # nobody had got it yet
-    assert running.core.retained.size <= max_bytes
+    assert running.core.records.retained.size <= max_bytes
 
 
 def test_results_of_background_posts_give_way_to_one_that_its_client_has_not_got() -> None:
@@ -145,7 +140,7 @@
     _, again = running.submit("first")
     assert (again.answers, running.runs("first")) == ([FAILED], 1)
     assert running.counters.counts["in.kept_failed"] == 1
-    assert running.core.retained.drops_of_run_once > 20
+    assert running.core.records.retained.drops_of_run_once > 20
 
 
 @pytest.mark.parametrize("by_http", [True, False], ids=["HTTP", "Gearman"])
@@ -178,7 +173,7 @@
     running.core.ended(attempt, api.Outcome.REJECTED)
     running.core.leave(attempt.request, attempt.request.waiters[0])
     running.advance_clock(1000)
-    held = running.core.retained.ids.size_bytes, running.core._open_record_bytes
+    held = running.core.records.retained.ids.size_bytes, running.core.records.open_bytes
     running.run("refused", b"ran")
     assert (held, running.runs("refused")) == ((0, 0), 2)
 
@@ -207,7 +202,7 @@
     running.run("l", b"", "look")  # what may run again is served
     running.advance_clock(DEADLINE_MS + RETENTION_MS + GROUP_SPAN_MS)
     running.run("new", b"r")
-    assert running.core.retained.ids.size_bytes <= 40_000
+    assert running.core.records.retained.ids.size_bytes <= 40_000
 
 
 def test_posts_under_way_have_room_for_their_records() -> None:
@@ -217,7 +212,7 @@
     accepted = sum(not answer for answer in answers)
     assert 100 < accepted < 400
     running.advance_clock(2 * DEADLINE_MS)
-    assert running.core._open_record_bytes == 0
+    assert running.core.records.open_bytes == 0
 
 
 def test_records_take_no_more_memory_than_is_counted_even_with_long_ids() -> None:
@@ -285,7 +280,7 @@
     old, new = site.processes
     ids = ["z" * 1000, *(f"p{number}" for number in range(retained_answers.MAX_RETAINED_ANSWERS + 800))]
     for unique in ids:
-        old.core._retain(
+        old.core.records.retain(
             Request(SINGLE_SHOT, unique, b"/", b"", 0.0, single_use_id=by_http),
             Answer(Verdict.SERVED, bytes(300)),
         )
@@ -310,8 +305,8 @@
     old, new = site.processes
     for number in range(1000):
         request = Request(SINGLE_SHOT, f"p{number}", b"/", b"", 0.0)
-        old.core._retain(request, Answer(Verdict.SERVED, b"r"))
-    new.core.retained.max_bytes = old.core.retained.ids.size_bytes
+        old.core.records.retain(request, Answer(Verdict.SERVED, b"r"))
+    new.core.records.retained.max_bytes = old.core.records.retained.ids.size_bytes
     assert site.submit(new, SINGLE_SHOT, "before").client.answers == []
     link_to_new_process(site)
     assert site.submit(new, SINGLE_SHOT, "after").client.answers[0].verdict is Verdict.REJECTED
@@ -323,7 +318,7 @@
     site = Site(0, 2)
     old, new = site.processes
     answer = Answer(Verdict.SERVED, result) if result else FAILED
-    old.core.retained.add(
+    old.core.records.retained.add(
         (SINGLE_SHOT, "a"), RetainedAnswer(answer, site.clock.at + 65_000.0, False), site.clock.at, True
     )
     link_to_new_process(site)
@@ -360,7 +355,7 @@
 def test_a_background_post_without_room_for_its_record_is_not_confirmed() -> None:
     """A background job that is rejected after its confirmation is lost, and nobody is told."""
     with running_harness(workers=0, gearman=True) as harness:
-        harness.core.retained.max_bytes = 0
+        harness.core.records.retained.max_bytes = 0
         client = harness.client("gearman")
         for kind in (Kind.SUBMIT_JOB_BG, Kind.SUBMIT_JOB):
             client.send(pack(kind, b"result-post", b"id-%d" % kind, b"", magic=REQ))
@@ -380,8 +375,8 @@
         running = harness.core
         for number in range(30):
             request = Request("result-post", f"p{number}", b"/", b"", 0.0)
-            running._retain(request, Answer(Verdict.SERVED, bytes(LARGE)))
-        running.retained.max_bytes = 0
+            running.records.retain(request, Answer(Verdict.SERVED, bytes(LARGE)))
+        running.records.retained.max_bytes = 0
         with caplog.at_level("WARNING"):
             for number in range(5):
                 client = Request("result-post", f"n{number}", b"/", b"", running.clock.now() + 1000)
