Forget start times of workers that a whole list of discovery lacks

The start time of each worker that was ever listed with one stayed in memory, unless an entry said that it had gone: a discovery that leaves workers out of whole lists makes it grow without end, by some hundred bytes a name (not measured). Found while listing the containers. A whole list is of all workers, so others' times go with it now. Without the new lines the test finds the 100 names.

--- a/eiderpin/net/discovery.py
+++ b/eiderpin/net/discovery.py
@@ -297,7 +297,7 @@
         if whole or entries or self.on_request:  # on request an empty answer shows that the watch is active
             kind = api.ListKind.COMPLETE if whole else api.ListKind.CHANGES
             self.core.apply_worker_list(
-                self.link, kind, self.with_local_start_times(entries), by_discovery=True
+                self.link, kind, self.with_local_start_times(entries, whole), by_discovery=True
             )
         self.loop.deadlines.drop(self.timer)
         if not message.keep_alive and self.conn is not None:
@@ -305,8 +305,14 @@
             self.conn = None
         self.call()
 
-    def with_local_start_times(self, entries: Entries) -> Entries:
-        """Convert the workers' start times in these entries to the dispatcher's clock; returns them."""
+    def with_local_start_times(self, entries: Entries, whole: bool = False) -> Entries:
+        """Convert the workers' start times in these entries to the dispatcher's clock; returns them.
+
+        `whole`: there are no other workers.
+        """
+        if whole:
+            names = {entry.name for entry, _ in entries}
+            self.start_times = {name: times for name, times in self.start_times.items() if name in names}
         for entry, _ in entries:
             if entry.born is None or entry.state is api.WorkerState.GONE:
                 self.start_times.pop(entry.name, None)
--- a/tests/test_memory_growth.py
+++ b/tests/test_memory_growth.py
@@ -12,6 +12,7 @@
 from eiderpin.policy.departed_workers import RETENTION_MS
 from eiderpin.policy.recent_attempts import REPORT_AGE_MS, RecentAttempts
 from tests.conftest import entry, listed, make_settings
+from tests.crossing import running_harness
 from tests.test_core import worker_entry
 from tests.test_run_once_records import Core
 
@@ -80,6 +81,18 @@
     running.run("still served", b"r")
 
 
+def test_start_times_of_workers_that_a_whole_list_lacks_are_forgotten() -> None:
+    """Only an entry that said so made one go; names that whole lists no longer had stayed for good."""
+    with running_harness(discovery="127.0.0.1:9") as harness:
+        source = harness.service.discovery
+        assert source is not None
+        for number in range(100):
+            pairs = [(entry(name, born=5.0), ("127.0.0.1", 9)) for name in ("stays", f"new-{number}")]
+            source.with_local_start_times(pairs, whole=True)
+        source.with_local_start_times([(entry("changed", born=5.0), ("127.0.0.1", 9))])
+        assert sorted(source.start_times) == ["changed", "new-99", "stays"]
+
+
 def test_ended_attempts_are_remembered_for_no_longer_than_a_report_may_be_old() -> None:
     """They are dropped at the next end, and not only when a load is observed."""
     recent = RecentAttempts()
