Move the parsing of discovery's documents to a module of its own

The client of discovery is about to grow by how its calls are timed. What parses its documents needs none of that, and the configuration and the static list use it too. No change of behaviour.

--- a/benchmarks/scale/decisions.py
+++ b/benchmarks/scale/decisions.py
@@ -24,7 +24,7 @@
 from benchmarks.store import memory_mb
 from eiderpin import interface as api
 from eiderpin.decide import Dispatcher
-from eiderpin.net import discovery
+from eiderpin.net import list_document
 
 STARTS_PER_SECOND = 570.0  # of the whole fleet, at the peak
 RUN_MS = 22_800.0  # mean run time of an attempt: 13,000 run at once at 570 starts per second
@@ -98,7 +98,8 @@
         self.starts = 0
         self.connections_opened = 0
         self.last_start_at: dict[str, float] = {}
-        entries = discovery.read_list({"generation": 1, "reset": True, "instances": worker_rows(workers)})[2]
+        document = {"generation": 1, "reset": True, "instances": worker_rows(workers)}
+        entries = list_document.read_list(document)[2]
         listed = [replace(entry, slots=SLOTS_PER_WORKER) for entry, _ in entries]
         self.handle_events([api.Membership(api.ListKind.COMPLETE, listed)])
         for _ in range(running):
@@ -177,7 +178,7 @@
     def measure_list(rows: list[dict[str, Any]], kind: api.ListKind) -> float:
         data = orjson.dumps({"generation": 3, "reset": False, "instances": rows})
         started_at = time.process_time()
-        entries = discovery.read_list(orjson.loads(data))[2]
+        entries = list_document.read_list(orjson.loads(data))[2]
         simulation.dispatcher.handle(simulation.now, [api.Membership(kind, [entry for entry, _ in entries])])
         return (time.process_time() - started_at) * 1000.0
 
--- a/eiderpin/configuration.py
+++ b/eiderpin/configuration.py
@@ -11,7 +11,7 @@
 
 from eiderpin import interface as api
 from eiderpin import wire
-from eiderpin.net import discovery
+from eiderpin.net import list_document
 
 if TYPE_CHECKING:
     from eiderpin.net.static_list import ListedWorkers
@@ -225,7 +225,7 @@
             workers = read_workers(document["workers"], [c.name for c in settings.classes])
         discovery_address = None
         if document.get("discovery") or workers is None:
-            discovery_address = discovery.parse_address(document.get("discovery"))
+            discovery_address = list_document.parse_address(document.get("discovery"))
         listen = _parse_listen_address(document.get("listen"))
         management_text = document.get("management")
         management = _parse_listen_address(management_text) if management_text else None
@@ -235,7 +235,7 @@
         memory_mb = float(limits.get("memory_mb") or 128)
         known = document.get("known")
         if known:
-            discovery.read_list(known)
+            list_document.read_list(known)
     except (ValueError, TypeError, AttributeError) as error:
         raise ConfigError(f"{error}".replace("\n", " ")) from None
     if sockets < MIN_SOCKETS:
@@ -277,6 +277,6 @@
 
 
 def _parse_listen_address(text: Any) -> tuple[str, int]:
-    """Like `discovery.parse_address`, but accepts port 0, for which the system chooses a port."""
+    """Like `list_document.parse_address`, but accepts port 0, for which the system chooses a port."""
     host, _, port = str(text).rpartition(":")
-    return (host, 0) if port == "0" and host else discovery.parse_address(text)
+    return (host, 0) if port == "0" and host else list_document.parse_address(text)
--- a/eiderpin/net/static_list.py
+++ b/eiderpin/net/static_list.py
@@ -7,7 +7,7 @@
 from eiderpin import interface as api
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.requests import Attempt, Endpoint
-from eiderpin.net.discovery import parse_address
+from eiderpin.net.list_document import parse_address
 from eiderpin.net.workers import HttpWorkers
 
 ListedWorkers = list[tuple[api.WorkerEntry, object]]  # workers with their addresses
--- a/tests/test_hostile_servers.py
+++ b/tests/test_hostile_servers.py
@@ -8,7 +8,7 @@
 import pytest
 
 from benchmarks.hostile.trial import memory_mb
-from eiderpin.net import discovery, http
+from eiderpin.net import http, list_document
 from eiderpin.policy.memory_budget import SMALL_HOLDING_BYTES
 from tests.crossing import Harness, Peer, job_request, running_harness
 from tests.test_upgrade import TOOK, said, side
@@ -74,8 +74,8 @@
 )
 def test_a_list_that_would_fill_the_memory_is_not_parsed(document: bytes) -> None:
     """A document of 1 MB can take 30 times as much memory once it is parsed."""
-    with pytest.raises(discovery.ListError):
-        discovery.check_shape(document)
+    with pytest.raises(list_document.ListError):
+        list_document.check_shape(document)
 
 
 def test_a_list_of_the_largest_fleet_is_parsed() -> None:
@@ -83,7 +83,7 @@
     entry = b'{\n "instanceId": "s-%06d", "hostPort": "10.1.0.1:7070", "zone": "a", "machineType": "m2",\n'
     entry += b' "cell": 3, "lifecycle": "Ready", "weight": 1.0, "startedAtMs": 0}'
     rows = b",\n".join(entry % number for number in range(3200))
-    discovery.check_shape(b'{"generation": 41, "reset": true, "instances": [' + rows + b"]}")
+    list_document.check_shape(b'{"generation": 41, "reset": true, "instances": [' + rows + b"]}")
 
 
 def test_a_stranger_on_the_link_of_an_upgrade_does_not_fill_the_memory() -> None:
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -15,7 +15,7 @@
 from eiderpin import interface as api
 from eiderpin.core import wall_clock
 from eiderpin.core.wall_clock import WallClock
-from eiderpin.net.discovery import Entries
+from eiderpin.net.list_document import Entries
 from tests.crossing import Harness, ManualClock, running_harness
 from tests.standins import HttpWorker, http_call, running_program
 
