Keep a late call to discovery open beside the next one, so that slow answers are received

What callers saw: while discovery took 1 s for each answer, workers that had begun to drain went on getting jobs for as long as that lasted: 31 attempts, the last 21.3 s after the change, where 6 s and the drain's grace are allowed. A dispatcher that was started meanwhile never had a list.

Cause: a call without an answer was closed after a fixed time, 0.7 s for one that does not wait, and the next one was made under the same limit. Once one call had failed, no call waited any more, so each one was closed before its answer, without end. Nothing raised the limit: only an answer could have shown that it was short.

Evidence: in 20 s with answers that take 1 s, 22 of 23 calls ended as `silent` and none for another reason, while the stand-in had an answer for each. Ruled out: answers that came and were dropped (`older`, `incomplete`, `bad` stay 0), a watch that is not renewed in time (each call was made 50 ms after the last one), connections (all came up at once). Where lists are asked for, calls had 2.7 s, so that 1 s was received by the call after a change and every watch without one was given up; answers of 4 s and more were never received.

The fix: a late call stays open and another one is made beside it; the first sound answer of either counts, and closes the other connection, so an older answer cannot come after a newer one. At most two are open. The limits stand in a pure module, `policy/answer_timing.py`: - The time after which an answer is late follows the slowest recent answer, from 0.7 to 1.5 s, and shrinks with later ones. At the upper end a watch that is silent for good and an answer of 2 s still end within 6 s. - A third call replaces one of the two. The older one is kept for 3 s beyond its wait, and without answers for longer and longer, rarely, up to 60 s. So a limit that no answer has raised grows all the same, and a dead call does not keep out slow answers, as the other calls get 2.5 s each during a long hold. - Where lists are asked for, the call beside a late watch begins within 3.9 s of it, which was 4.95 s before.

New for operators: `in.discovery_slow` (late, and then answered), `in.discovery_given_up` (closed unanswered), `discovery.limit_ms` and `discovery.open_calls`; a warning `the list of workers is old` once it is 6 s old; the limit and the time of the answer in the log events.

--- a/eiderpin/configuration.py
+++ b/eiderpin/configuration.py
@@ -26,7 +26,7 @@
 MIN_SOCKETS = 96  # fewer can't be divided among the kinds of connections
 # Keys that each dispatcher reads from its own file, never from the shared configuration.
 PER_DISPATCHER_KEYS = ("name", "listen", "management", "seed", "limits", "known")
-# For standard streams, signals, listeners and discovery, with a few to spare.
+# For standard streams, signals, listeners and two calls to discovery, with a few to spare.
 RESERVED_DESCRIPTORS = 16
 MAX_MANAGEMENT_CALLERS = 12  # connections to the management API at once; their descriptors are reserved
 MAX_AGENT_CHECK_CALLERS = 16  # agent-check connections of load balancers open at once
--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -381,7 +381,7 @@
 
         A complete list covers the workers of its own source only. A stored list comes from the source that
         requests the current list from discovery next, and nothing is sent by it before discovery has
-        answered. A failed list has no workers.
+        answered.
         """
         now = self.clock.now()
         listed: list[api.WorkerEntry] = []
@@ -403,7 +403,7 @@
                         self._update_endpoint(endpoint, gone, endpoint.address, now)
                 elif endpoint.link is not link:
                     listed.append(endpoint.listed)
-        self.listed = self.listed or kind is not api.ListKind.FAILED
+        self.listed = True
         is_stored = kind is api.ListKind.STORED
         self._events.append(api.Membership(kind, listed, by_discovery, is_to_be_confirmed=is_stored))
         self._forget_departed(now)
@@ -424,6 +424,10 @@
         is_long_ago = endpoint.withdrawn_at <= now - departed_workers.RETENTION_MS
         return is_long_ago and endpoint.name not in self.module.workers
 
+    def list_call_failed(self, late_call_ms: float | None) -> None:
+        """Note that a call to discovery has failed, or that it began so many ms ago and is late."""
+        self._events.append(api.Membership(api.ListKind.FAILED, late_call_ms=late_call_ms))
+
     def list_source_changed(self, link: WorkerLink) -> None:
         """Note that another discovery is asked from now on, which has to confirm the workers of this link."""
         listed = [endpoint.listed for endpoint in self.endpoints.values() if endpoint.link is link]
--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -518,7 +518,7 @@
         """
         names = {e.name for e in event.entries}
         if event.kind is api.ListKind.FAILED:
-            self.list_watch.record_failure(self.now)
+            self.list_watch.record_failure(self.now, event.late_call_ms)
             return
         if event.kind is api.ListKind.UNCONFIRMED:
             self.list_validity.change_source(names, self.now)
--- a/eiderpin/interface.py
+++ b/eiderpin/interface.py
@@ -218,6 +218,7 @@
     entries: list[WorkerEntry] = field(default_factory=list)
     by_discovery: bool = True  # False: by a front, a file or an operator, so no call to discovery is answered
     is_to_be_confirmed: bool = False  # a stored list: nothing is sent by it before discovery has answered
+    late_call_ms: float | None = None  # a failure: the call began so long ago and may still be answered
 
 
 @dataclass(slots=True)
--- a/eiderpin/net/discovery.py
+++ b/eiderpin/net/discovery.py
@@ -1,7 +1,7 @@
 """The client of the discovery service: fetches the list of workers and watches it for changes.
 
-A log event reports when calls begin to fail and when the list is up to date again; `list_age_ms` says how old
-the list is.
+A log event reports when calls begin to fail, when the list is up to date again, and when it has become old
+meanwhile; `list_age_ms` says how old it is.
 """
 
 from __future__ import annotations
@@ -17,19 +17,22 @@
 from eiderpin.core.requests import WorkerLink
 from eiderpin.core.wall_clock import WallClock
 from eiderpin.net import http
-from eiderpin.net.connection import Connection
-from eiderpin.net.list_document import MAX_LIST_BYTES, Entries, check_shape, read_list
+from eiderpin.net.discovery_call import CallFailure, DiscoveryCall
+from eiderpin.net.list_document import Entries, check_shape, read_list
 from eiderpin.net.loop import Loop
+from eiderpin.policy.answer_timing import AnswerTiming
 
 logger = logging.getLogger("eiderpin")
 
 # A change of the list counts as known 6 s after discovery had it and could be reached, whether we received it
-# or not. The worst case must stay below that: a call that gets no answer from its beginning on (WATCH_WAIT_MS
-# + SILENCE_TIMEOUT_MS), then one that is answered immediately. Where the decisions say when to call again,
-# they count from the beginning of the failed call (`ListWatch`).
+# or not. The worst case must stay below that: a watch that gets no answer from its beginning on, for
+# WATCH_WAIT_MS and the limit of `AnswerTiming`, then a call that is answered, slowly or at once. Where the
+# decisions say when to call again, they count from the beginning of the late call (`ListWatch`).
 WATCH_WAIT_MS = 2000  # discovery answers a watch after this time if nothing has changed
-SILENCE_TIMEOUT_MS = 700.0  # a call without an answer so long after that is repeated on a new connection
 RETRY_MS = 50.0  # before the next call after a failure; a watch must be renewed within 200 ms
+# One call, and one more while that one is late. `configuration.RESERVED_DESCRIPTORS` counts both.
+MAX_OPEN_CALLS = 2
+OLD_LIST_MS = 6000.0  # from this age on the list is reported as old
 # An answer with an older generation than we have is rejected, and the call is repeated after this time.
 OUTDATED_RETRY_MS = 250.0
 # Once discovery has given only such answers for this long, it was restarted and counts generations anew.
@@ -59,14 +62,15 @@
         # By worker: its start time as listed (wall clock) and on our clock. It is converted once only.
         self.start_times: dict[str, tuple[float, float]] = {}
         self.generation: int | None = None  # from which changes are asked for; None: fetch the whole list
-        self.conn: Connection | None = None
-        self.reader = http.ResponseReader()
-        self.timer: Deadline | None = None  # timeout of the call, or time of the next one
+        self.calls: list[DiscoveryCall] = []  # the open ones, the oldest first; at most MAX_OPEN_CALLS
+        self.retry: Deadline | None = None  # time of the next call
+        self.timing = AnswerTiming()
         self.has_answered = False  # discovery has answered since the start
         self.verified = False  # discovery has answered since the last failure
         self.began_at = loop.clock.now()
         self.answered_at: float | None = None  # when the list was last known to be up to date
-        self.failures = 0  # consecutive failed calls
+        self.failures = 0  # consecutive failed or late calls
+        self.reported_old = False  # it was logged that the list is old
         self.newest_generation: int | None = None  # the latest one received
         self.outdated_since: float | None = None  # since when only older generations are received
         self.on_request = core.settings.must_ask
@@ -94,10 +98,8 @@
         self.server_address, self.generation = server_address, None
         self.newest_generation = self.outdated_since = None
         self.verified = False
-        self.loop.deadlines.drop(self.timer)
-        if self.conn is not None:
-            self.conn.close()
-        self.conn = None
+        self.timing = AnswerTiming()
+        self.close_calls()
         self.call()
 
     @property
@@ -106,31 +108,69 @@
         last = self.began_at if self.answered_at is None else self.answered_at
         return self.loop.clock.now() - last
 
-    def note_failure(self, reason: str) -> None:
-        """Count a failed call; the first one in a row is logged."""
+    def note_failure(self, reason: CallFailure) -> None:
+        """Count a failed or late call. The first one in a row is logged, and once that the list is old."""
         self.core.counters.add(f"in.discovery_{reason}")
         self.failures += 1
         if self.failures == 1:
-            fields = {"reason": reason, "generation": self.generation,
-                      "list_age_ms": round(self.list_age_ms),
-                      "held_back": len(self.core.module.list_validity.held_back)}  # fmt: skip
-            logger.warning("discovery does not tell the list", extra=fields)
+            logger.warning("discovery does not tell the list", extra=self.describe_failure(reason))
+        if self.list_age_ms >= OLD_LIST_MS and not self.reported_old:
+            self.reported_old = True
+            logger.warning("the list of workers is old", extra=self.describe_failure(reason))
 
-    def note_answer(self, generation: int) -> None:
-        """Note that the list is up to date; this is logged after failed calls."""
+    def describe_failure(self, reason: CallFailure) -> dict[str, Any]:
+        """Return the fields of a log event on calls that bring no list."""
+        return {"reason": reason.value, "generation": self.generation, "failed_calls": self.failures,
+                "list_age_ms": round(self.list_age_ms), "limit_ms": round(self.timing.limit_ms),
+                "held_back": len(self.core.module.list_validity.held_back)}  # fmt: skip
+
+    def note_answer(self, call: DiscoveryCall, generation: int) -> None:
+        """Note that the list is up to date; this is logged after failed or late calls."""
+        took_ms = call.overtime_ms
+        self.timing.record_answer(took_ms if took_ms >= 0 else None)
+        if call.is_late:
+            self.core.counters.add("in.discovery_slow")
         if self.failures:
             fields = {"generation": generation, "failed_calls": self.failures,
-                      "list_age_ms": round(self.list_age_ms)}  # fmt: skip
+                      "list_age_ms": round(self.list_age_ms), "slow": call.is_late,
+                      "answer_ms": round(max(took_ms, 0.0)),
+                      "limit_ms": round(self.timing.limit_ms)}  # fmt: skip
             logger.info("discovery tells the list", extra=fields)
-        self.answered_at, self.failures = self.loop.clock.now(), 0
+        self.answered_at = self.loop.clock.now() - max(took_ms, 0.0)  # it may be as old as that
+        self.failures, self.reported_old = 0, False
 
     def watch(self) -> None:
-        """Begin a watch now, as the decisions want; a call that is in progress goes on."""
-        if self.conn is None:
+        """Begin a watch now, as the decisions want; a call that is in progress and not late goes on."""
+        if all(call.is_late for call in self.calls):
             self.call()
 
     def call(self) -> None:
-        """Send the next call: a watch if the list is up to date, else one that is answered immediately."""
+        """Make the next call on a new connection, beside a late one."""
+        self.loop.deadlines.drop(self.retry)
+        self.make_room()
+        connection = self.loop.connect(self.server_address)
+        if connection is None:
+            self.note_failure(CallFailure.NOT_CONNECTED)
+            self.schedule_call()
+            return
+        call = DiscoveryCall(self.loop, connection, self)
+        self.calls.append(call)
+        self.send(call)
+
+    def make_room(self) -> None:
+        """Give up one of the late calls if there are too many for another one."""
+        if len(self.calls) < MAX_OPEN_CALLS:
+            return
+        older, younger = self.calls
+        self.core.counters.add("in.discovery_given_up")
+        if older.overtime_ms < self.timing.hold_ms:
+            self.close_call(younger)
+            return
+        self.timing.record_unanswered()
+        self.close_call(older)
+
+    def send(self, call: DiscoveryCall) -> None:
+        """Ask for changes, or for the whole list where there is none that they could follow."""
         self.wall.sample()
         target = b"/catalog/members"
         wait_ms = 0.0
@@ -140,98 +180,80 @@
             is_watch = self.verified or (self.on_request and self.has_answered)
             wait_ms = float(WATCH_WAIT_MS) if is_watch else 0.0
             target += b"?after=%d&wait_ms=%d" % (self.generation, wait_ms)
-        if self.conn is None:
-            self.conn = self.loop.connect(self.server_address)
-            if self.conn is None:
-                self.note_failure("not_connected")
-                self.handle_failure()
-                return
-            self.reader = http.ResponseReader(MAX_LIST_BYTES)
-            self.conn.on_data, self.conn.on_end = self.on_data, self.on_end
         # A busy service on request may take long for any call.
-        timeout_ms = (WATCH_WAIT_MS if self.on_request else wait_ms) + SILENCE_TIMEOUT_MS
-        self.timer = self.loop.deadlines.set(self.loop.clock.now() + timeout_ms, self.on_timeout)
+        limit_ms = self.timing.call_limit_ms(WATCH_WAIT_MS if self.on_request else wait_ms)
         host = f"Host: {self.server_address[0]}:{self.server_address[1]}"
-        self.conn.write(http.request("GET", target, (host,)))
-
-    def on_timeout(self) -> None:
-        """The call was not answered in time."""
-        self.note_failure("silent")
-        self.handle_failure()
-
-    def on_end(self) -> None:
-        """The connection was closed or lost; this completes an answer without Content-Length."""
-        last = self.reader.message_at_eof()
-        if last is not None:
-            self.handle_answers([last])
-            return
-        self.note_failure("closed")
-        self.handle_failure()
+        call.send(http.request("GET", target, (host,)), wait_ms, limit_ms)
+
+    def close_call(self, call: DiscoveryCall) -> None:
+        """Close one of the open calls. What discovery still answers to it is not received."""
+        call.close()
+        self.calls.remove(call)
+
+    def close_calls(self, but: DiscoveryCall | None = None) -> None:
+        """Close all open calls but one, and make no further call."""
+        self.loop.deadlines.drop(self.retry)
+        for call in [call for call in self.calls if call is not but]:
+            self.close_call(call)
+
+    def handle_late(self, call: DiscoveryCall) -> None:
+        """The call was not answered in time: make another one, while its answer may still come."""
+        self.note_failure(CallFailure.SILENT)
+        self.schedule_call(late_call_ms=call.age_ms)
+
+    def handle_failure(
+        self, call: DiscoveryCall, reason: CallFailure | None, retry_ms: float = RETRY_MS
+    ) -> None:
+        """Close a call that has failed, and make another one, unless that was done when it became late.
+
+        `reason`: None for an answer that is no failure and can still not be used.
+        """
+        if reason is not None:
+            self.note_failure(reason)
+        self.close_call(call)
+        if not call.is_late:
+            self.schedule_call(retry_ms)
 
-    def handle_failure(self, retry_ms: float = RETRY_MS) -> None:
-        """Call again after a failure, on a new connection; on request the decisions say when."""
+    def schedule_call(self, retry_ms: float = RETRY_MS, late_call_ms: float | None = None) -> None:
+        """Make another call after `retry_ms`; on request the decisions say when.
+
+        `late_call_ms`: how long ago the call began that is late; None: it has failed.
+        """
         self.verified = False
-        self.loop.deadlines.drop(self.timer)
-        if self.conn is not None:
-            self.conn.close()
-            self.reader.release()
-        self.conn = None
+        self.loop.deadlines.drop(self.retry)
         if self.on_request:
-            self.core.apply_worker_list(self.link, api.ListKind.FAILED, (), by_discovery=True)
-            return
-        self.timer = self.loop.deadlines.set(self.loop.clock.now() + retry_ms, self.call)
-
-    def on_data(self, data: bytes) -> None:
-        """Handle the answers that received data completes."""
-        try:
-            messages = self.reader.feed(data)
-        except http.BadMessage:
-            self.reject_answer()
+            self.core.list_call_failed(late_call_ms)
             return
-        self.handle_answers(messages)
+        self.retry = self.loop.deadlines.set(self.loop.clock.now() + retry_ms, self.call)
 
-    def reject_answer(self) -> None:
+    def reject_answer(self, call: DiscoveryCall) -> None:
         """The answer is not valid HTTP, not JSON or not a list: fetch the whole list next."""
-        self.note_failure("bad")
         self.generation = None
-        self.handle_failure()
-
-    def handle_answers(self, messages: list[http.Message]) -> None:
-        """Handle answers in order, until one of them ends their connection."""
-        conn = self.conn
-        try:
-            for message in messages:
-                if self.conn is conn:  # else an earlier answer has closed it
-                    self.handle_answer(message)
-        except (ValueError, TypeError):  # not JSON, or not a list
-            self.reject_answer()
-
-    def handle_answer(self, message: http.Message) -> None:
+        self.handle_failure(call, CallFailure.BAD)
+
+    def handle_answer(self, call: DiscoveryCall, message: http.Message) -> None:
         """Apply one answer and call again. Raises `ValueError` or `TypeError` if it is not a list."""
         if message.status != 200:
             if message.status < 500:
                 # It may not accept our generation (5xx means overload): fetch the whole list.
                 self.generation = None
-            self.note_failure("refused")
-            self.handle_failure()
+            self.handle_failure(call, CallFailure.REFUSED)
             return
         check_shape(message.body)
         generation, whole, entries = read_list(orjson.loads(message.body))
         if self.is_outdated(generation):
-            self.note_failure("older")
-            self.handle_failure(OUTDATED_RETRY_MS)
+            self.handle_failure(call, CallFailure.OLDER, OUTDATED_RETRY_MS)
             return
         if self.generation is None and not whole:
-            self.note_failure("incomplete")
-            self.handle_failure()
+            self.handle_failure(call, CallFailure.INCOMPLETE)
             return
         if generation < (self.newest_generation or 0) and not whole:
             # Discovery was restarted and counts from a lower generation: its changes alone are not enough.
             self.generation = None
-            self.handle_failure()
+            self.handle_failure(call, None)
             return
         self.core.counters.add("in.lists")
-        self.note_answer(generation)
+        self.note_answer(call, generation)
         self.generation = self.newest_generation = generation
         self.outdated_since = None
         self.has_answered = self.verified = True
@@ -240,10 +262,18 @@
             self.core.apply_worker_list(
                 self.link, kind, self.with_local_start_times(entries, whole), by_discovery=True
             )
-        self.loop.deadlines.drop(self.timer)
-        if not message.keep_alive and self.conn is not None:
-            self.conn.close()
-            self.conn = None
+        self.call_again(call, message.keep_alive)
+
+    def call_again(self, call: DiscoveryCall, keep_alive: bool) -> None:
+        """Make the next call after an answer, on its connection if that is kept; other calls are closed.
+
+        An answer to one of them could only be older than this one, or tell what the next call tells.
+        """
+        self.close_calls(but=call)
+        if keep_alive:
+            self.send(call)
+            return
+        self.close_call(call)
         self.call()
 
     def with_local_start_times(self, entries: Entries, whole: bool = False) -> Entries:
--- a/eiderpin/policy/list_watch.py
+++ b/eiderpin/policy/list_watch.py
@@ -10,6 +10,9 @@
 # Upper limit of the time from the start of a failed call to the next call. 6 s after discovery has a change
 # and can be reached, that change counts as delivered, whether it was received or not.
 MAX_CALL_INTERVAL_MS = 4500.0
+# The same after a late call: the answer to the next one may take 2 s, and must come within these 6 s, too.
+MAX_LATE_CALL_INTERVAL_MS = 3900.0
+MIN_RETRY_SPREAD_MS = 400.0  # over which the next calls of a fleet are spread at least, after late ones
 FIRST_CALLS_SHARE = 0.18  # share of `ask_within` over which a fleet's first calls are spread
 # Upper limit of the time between the first calls of two instances: one that starts alone need not wait for
 # others.
@@ -44,29 +47,46 @@
         self._next_call_at, self._backoff_ms = math.inf, 0.0
         self._call_began_at = -math.inf
 
-    def record_failure(self, now: float) -> None:
-        """Record that a call has failed, or that the watch has ended, and schedule the next call."""
-        if self._settings.must_ask:
+    def record_failure(self, now: float, late_call_ms: float | None = None) -> None:
+        """Record that a call has failed, or that the watch has ended, and schedule the next call.
+
+        `late_call_ms`: the call began so long ago and is only late, so the next one is made beside it.
+        """
+        if not self._settings.must_ask:
+            return
+        if late_call_ms is None:
             self._schedule_retry(now)
-            self._call_began_at = -math.inf
+        else:
+            longest = max(MAX_LATE_CALL_INTERVAL_MS - late_call_ms, MIN_RETRY_SPREAD_MS)
+            self._schedule_call(now, self._next_backoff(), longest)
+        self._call_began_at = -math.inf
 
     def _schedule_retry(self, now: float) -> None:
-        """Schedule the next call after a failed one, with an exponential back-off and jitter.
+        """Schedule the next call after a failed one.
 
-        The next call begins within MAX_CALL_INTERVAL_MS of the start of the failed one, unless that took more
-        than half of this time.
+        It begins within MAX_CALL_INTERVAL_MS of the start of the failed one, unless that took more than half
+        of this time.
         """
-        ask_within = self._settings.ask_within
-        wait = max(self._backoff_ms, FIRST_BACKOFF_SHARE * ask_within)
-        self._backoff_ms = min(2 * wait, MAX_BACKOFF_SHARE * ask_within)
         lasted = (
             min(max(now - self._call_began_at, 0.0), MAX_CALL_INTERVAL_MS / 2)
             if self._call_began_at > 0
             else 0.0
         )
-        self._next_call_at = now + min(wait, (MAX_CALL_INTERVAL_MS - lasted) / 1.5) * (
-            0.5 + self._rng.random()
-        )
+        self._schedule_call(now, self._next_backoff(), MAX_CALL_INTERVAL_MS - lasted)
+
+    def _next_backoff(self) -> float:
+        """Return the mean time before the next call, which doubles with each failure in a row."""
+        ask_within = self._settings.ask_within
+        wait = max(self._backoff_ms, FIRST_BACKOFF_SHARE * ask_within)
+        self._backoff_ms = min(2 * wait, MAX_BACKOFF_SHARE * ask_within)
+        return wait
+
+    def _schedule_call(self, now: float, mean: float, longest: float) -> None:
+        """Schedule the next call after a random time between a half and one and a half of `mean`.
+
+        It is at most `longest`.
+        """
+        self._next_call_at = now + min(mean, longest / 1.5) * (0.5 + self._rng.random())
 
     def begin_call_if_due(self, now: float) -> bool:
         """Begin a call for the list if one is due, and return whether it has to be made now.
--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -561,6 +561,8 @@
             self.counters.counts["observer.age_ms"] = int(self.control_plane.observer.age_ms)
         if self.discovery is not None:
             self.counters.counts["discovery.list_age_ms"] = int(self.discovery.list_age_ms)
+            self.counters.counts["discovery.limit_ms"] = int(self.discovery.timing.limit_ms)
+            self.counters.counts["discovery.open_calls"] = len(self.discovery.calls)
             self.counters.counts["discovery.held_back"] = len(self.core.module.list_validity.held_back)
         self.counters.counts["memory.held_bytes"] = self.memory.held_bytes
         self.counters.counts["memory.dropped"] = self.memory.drops
