Let the time limit of commands to the store grow while the store is slow

What operators saw: with a disk that takes 1.2 s for a sync, a dispatcher with a store is never whole: it advertises 75% of its traffic for as long as it runs, other dispatchers do not count it, and it leaves a lease in the store about each second (46 after 40 s). With 2 s or more its jobs of `outcomes` find no lease, and observers are not announced.

A command was given up after 0.9 s (2 s for outcomes and announcements) and made anew under the same limit, though it was carried out each time; its answer was never received.

Evidence: a real process whose fdatasync takes longer, 0.2, 0.5 and 1.2 s: whole after 3, 7 s and never (36 s were watched), 2, 3 and 46 leases. Ruled out: the disk (commits went on, revision 54), the leader (one voter), and refusals (none were counted).

The fix: `core.growing_timeout`, for calls of which one is made at a time: the limit doubles with each one that has no answer in time, up to 10 s, and an answer sets it to twice the time it took, but no lower than before. It is counted (`store.command_timeouts`).

--- a/eiderpin/fleet/outcomes.py
+++ b/eiderpin/fleet/outcomes.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Callable
 
@@ -17,6 +18,7 @@
 from eiderpin.core.deadlines import Deadline
 from eiderpin.core.dispatcher import Dispatcher
 from eiderpin.core.durability import JobMismatchError
+from eiderpin.core.growing_timeout import GrowingTimeout
 from eiderpin.core.requests import FAILED, Answer, Attempt, Request, Verdict
 from eiderpin.fleet import incarnation
 from eiderpin.fleet.incarnation import Incarnation
@@ -24,11 +26,13 @@
 from eiderpin.jobs.ledger import fingerprint
 from eiderpin.store import state
 from eiderpin.store.host import StoreHost
+from eiderpin.store.member import OutcomeUnknown
 from eiderpin.store.names import LIVE_MEMBERS
 
 DOCUMENT_PREFIX = "outcomes/"
 LEASE_BUCKET_MS = 30_000.0  # outcomes of this long a time share one lease
-CLAIM_TIMEOUT_MS = 2000.0
+COMMAND_TIMEOUT_MS = 2000.0  # of a command to the store, at first; it grows while the store is slower
+MAX_COMMAND_TIMEOUT_MS = 10_000.0
 MAX_ANSWER_DELAY_MS = 1000.0  # an answer waits at most this long for its outcome to be stored
 MAX_UNSENT_JOBS = 10_000
 LEASE_RETRY_MS = 200.0
@@ -70,6 +74,7 @@
         self.claimed_jobs: set[int] = set()  # numbers of the jobs that this dispatcher has claimed
         self.unsent_names: OrderedDict[str, None] = OrderedDict()  # may be claimed, but nothing was sent
         self.lease_id = 0  # of the lease for new outcomes; 0: none yet
+        self.command_timeout = GrowingTimeout(COMMAND_TIMEOUT_MS, MAX_COMMAND_TIMEOUT_MS)
         self.renew_lease()
 
     # -- the lease of the outcomes
@@ -84,14 +89,27 @@
             at = self.core.clock.now() + (LEASE_BUCKET_MS if granted else LEASE_RETRY_MS)
             self.core.deadlines.set(at, self.renew_lease)
 
-        self.submit(state.Grant(self.keep_ms + LEASE_BUCKET_MS), on_granted, CLAIM_TIMEOUT_MS)
+        self.submit(state.Grant(self.keep_ms + LEASE_BUCKET_MS), on_granted)
 
     def submit(
-        self, op: state.Operation, done: Callable[[state.Answer | Exception], None], timeout_ms: float
+        self,
+        op: state.Operation,
+        done: Callable[[state.Answer | Exception], None],
+        time_left_ms: float = math.inf,
     ) -> None:
-        """Submit a command to the store. `done` gets its answer, or why none is known."""
-        member = self.host.member
-        member.submit("", member.rng.getrandbits(53), op, done, self.core.clock.now(), timeout_ms)
+        """Submit a command to the store. `done` gets its answer, or why none is known by the time limit or
+        after `time_left_ms`, whichever comes first."""
+        member, began_at = self.host.member, self.core.clock.now()
+        timeout_ms = min(self.command_timeout.limit_ms, time_left_ms)
+
+        def on_answer(answer: state.Answer | Exception) -> None:
+            if isinstance(answer, state.Answer):
+                self.command_timeout.record_answer(self.core.clock.now() - began_at)
+            elif isinstance(answer, OutcomeUnknown) and timeout_ms == self.command_timeout.limit_ms:
+                self.command_timeout.record_timeout()  # once for all calls that were made under this limit
+            done(answer)
+
+        member.submit("", member.rng.getrandbits(53), op, on_answer, began_at, timeout_ms)
 
     @property
     def claimant(self) -> str:
@@ -102,7 +120,7 @@
         self,
         change: state.Transaction,
         done: Callable[[state.Answer | Exception], None],
-        timeout_ms: float,
+        time_left_ms: float = math.inf,
     ) -> None:
         """Submit a change that is carried out only while we are the latest incarnation of our name."""
         try:
@@ -110,7 +128,7 @@
         except ValueError as error:
             done(error)
             return
-        self.submit(change, done, timeout_ms)
+        self.submit(change, done, time_left_ms)
 
     # -- DurableJobManager
 
@@ -220,7 +238,7 @@
         put = state.Put(name, value, self.lease_id)
         time_left = max(50.0, request.deadline - self.core.clock.now())
         claim = state.Transaction([put], [state.Compare(name, earlier_revision)])
-        self.submit_guarded(claim, on_claimed, min(CLAIM_TIMEOUT_MS, time_left))
+        self.submit_guarded(claim, on_claimed, time_left)
 
     def reject_unclaimed(self, attempt: Attempt) -> None:
         """Reject a job that cannot be claimed; nothing of it has been sent."""
@@ -254,7 +272,7 @@
             delete = state.Transaction(
                 [state.Delete(name)], [state.Compare(name, self.current_revision(name))]
             )
-            self.submit_guarded(delete, _ignore_answer, CLAIM_TIMEOUT_MS)
+            self.submit_guarded(delete, _ignore_answer)
             tell(answer)
             return
         claim = Claim(
@@ -262,7 +280,7 @@
         )  # fmt: skip
         put = state.Put(name, msgspec.msgpack.encode(claim), self.lease_id)
         if answer.verdict is not Verdict.SERVED:
-            self.submit(state.Transaction([put]), _ignore_answer, CLAIM_TIMEOUT_MS)
+            self.submit(state.Transaction([put]), _ignore_answer)
             tell(answer)  # a failed job is answered without waiting for the store
             return
         guard: Deadline | None = None
@@ -276,7 +294,7 @@
         now = self.core.clock.now()
         at = min(now + MAX_ANSWER_DELAY_MS, max(now, request.deadline - 5.0))
         guard = self.core.deadlines.set(at, deliver_once)
-        self.submit(state.Transaction([put]), deliver_once, CLAIM_TIMEOUT_MS)
+        self.submit(state.Transaction([put]), deliver_once)
 
     def handle_late_report(self, wire_id: str, worker: str, state: str, result: bytes) -> bool:
         """Ignore a worker's report on a job that has ended here. Returns False: it was not kept."""
--- a/eiderpin/fleet/shared_state.py
+++ b/eiderpin/fleet/shared_state.py
@@ -13,12 +13,14 @@
 
 from eiderpin.core import learned as learned_state
 from eiderpin.core.dispatcher import Dispatcher
+from eiderpin.core.growing_timeout import GrowingTimeout
 from eiderpin.core.learned import Learned
 from eiderpin.fleet.comeback import RejoinProgress
 from eiderpin.fleet.followed_documents import FollowedDocuments
 from eiderpin.fleet.incarnation import ClaimState, Incarnation
 from eiderpin.store import hints, presence
 from eiderpin.store.host import StoreHost
+from eiderpin.store.member import OutcomeUnknown
 from eiderpin.store.names import CURRENT_CONFIG, LIVE_MEMBERS, OBSERVERS, WORKER_OVERRIDES
 from eiderpin.store.presence import LiveDispatchers
 from eiderpin.store.raft import Refused
@@ -27,7 +29,8 @@
 LEASE_MS = 5000.0  # a dispatcher that does not renew its lease for this long is no longer counted as live
 HEARTBEAT_INTERVAL_MS = 1000.0
 START_INTERVAL_RANGE_MS = (50.0, 150.0)  # during a start; random, so that many dispatchers are not in step
-COMMAND_TIMEOUT_MS = 900.0
+COMMAND_TIMEOUT_MS = 900.0  # of a command or a read, at first; it grows while the store is slower
+MAX_COMMAND_TIMEOUT_MS = 10_000.0
 ACCEPT_HINTS_MS = 10_000.0  # for this long after the start, hints from other dispatchers are accepted
 PUBLISH_HINT_INTERVAL_MS = 30_000.0
 MAX_LOGGED_NAMES = 8  # of dispatchers in one log line
@@ -68,6 +71,7 @@
         self.lease = 0  # id of our lease; 0: none
         self.published: dict[str, Any] = {}  # our description as the store has it; empty: it has none
         self.command_pending = False
+        self.command_timeout = GrowingTimeout(COMMAND_TIMEOUT_MS, MAX_COMMAND_TIMEOUT_MS)
         self.follow(
             self.incarnation.document_name, lambda suffix, value: None if suffix else self.update_claim()
         )
@@ -141,7 +145,7 @@
         member, now = self.host.member, self.core.clock.now()
 
         def on_read(error: Exception | None) -> None:
-            self.command_pending = False
+            self.note_command_end(error, now)
             if error is None:
                 self.incarnation.record_initial_revision(self.read_claim_document()[1])
                 self.send_next_command()
@@ -154,7 +158,7 @@
 
         if self.incarnation.initial_revision is None:
             self.command_pending = True
-            member.read(on_read, now, COMMAND_TIMEOUT_MS)
+            member.read(on_read, now, self.command_timeout.limit_ms)
         else:
             self.submit(self.incarnation.build_claim(), on_claimed)
 
@@ -273,17 +277,26 @@
 
     def submit(self, op: Operation, done: Callable[[Answer], None]) -> None:
         """Submit one command to the store. `done` gets its answer, and is not called where none is known."""
+        member, began_at = self.host.member, self.core.clock.now()
 
         def on_answer(answer: Answer | Exception) -> None:
-            self.command_pending = False
             if isinstance(answer, Answer):
+                self.note_command_end(None, began_at)
                 done(answer)
+            else:
+                self.note_command_end(answer, began_at)
 
         self.command_pending = True
-        member = self.host.member
-        member.submit(
-            "", member.rng.getrandbits(53), op, on_answer, self.core.clock.now(), COMMAND_TIMEOUT_MS
-        )
+        member.submit("", member.rng.getrandbits(53), op, on_answer, began_at, self.command_timeout.limit_ms)
+
+    def note_command_end(self, error: Exception | None, began_at: float) -> None:
+        """Note that the pending command or read has an answer, or has failed."""
+        self.command_pending = False
+        if error is None:
+            self.command_timeout.record_answer(self.core.clock.now() - began_at)
+        elif isinstance(error, OutcomeUnknown):
+            self.host.counters.add("store.command_timeouts")
+            self.command_timeout.record_timeout()
 
     def on_lease_granted(self, answer: Answer) -> None:
         """Publish our description under the lease just granted."""
--- a/eiderpin/store/observer_server.py
+++ b/eiderpin/store/observer_server.py
@@ -13,12 +13,13 @@
 
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Deadline
+from eiderpin.core.growing_timeout import GrowingTimeout
 from eiderpin.net.connection import Connection
 from eiderpin.net.listener import Listener
 from eiderpin.net.loop import Loop
 from eiderpin.parts.store import DEFAULT_MAX_OBSERVERS
 from eiderpin.store.framing import FrameDecoder, encode_frame
-from eiderpin.store.member import Member, Watch
+from eiderpin.store.member import Member, OutcomeUnknown, Watch
 from eiderpin.store.names import OBSERVERS
 from eiderpin.store.observer_protocol import (
     FROM_OBSERVER,
@@ -43,7 +44,8 @@
 RENEW_INTERVAL_MS = 2_500.0
 PAGE_INTERVAL_MS = 1.0  # between two pages of a snapshot
 ANNOUNCE_INTERVAL_MS = 1_000.0
-COMMAND_TIMEOUT_MS = 2_000.0
+COMMAND_TIMEOUT_MS = 2_000.0  # of a command to the store, at first; it grows while the store is slower
+MAX_COMMAND_TIMEOUT_MS = 10_000.0
 
 
 @dataclass(slots=True)
@@ -96,6 +98,7 @@
         self._lease = 0
         self._announce_all = True  # the next announcement includes what has not changed
         self._command_pending = False  # a command to the store has no answer yet
+        self._command_timeout = GrowingTimeout(COMMAND_TIMEOUT_MS, MAX_COMMAND_TIMEOUT_MS)
         self._announce_at = self._renew_at = now
         self._watch: Watch | None = None
         self._follow_store()
@@ -274,17 +277,22 @@
             self._submit(Transaction(list(puts), [Compare(name, revision)]), self._handle_announced)
 
     def _submit(self, operation: Operation, done: Callable[[Answer], None]) -> None:
+        now = self.loop.clock.now()
+
         def answered(answer: Answer | Exception) -> None:
             self._command_pending = False
+            if isinstance(answer, OutcomeUnknown):
+                self._command_timeout.record_timeout()
+            elif isinstance(answer, Answer):
+                self._command_timeout.record_answer(self.loop.clock.now() - now)
             if isinstance(answer, Answer) and not answer.error:
                 done(answer)
             else:
                 self._lease = 0  # it may have expired: get a new lease and announce everything again
 
         self._command_pending = True
-        now = self.loop.clock.now()
         number = self.member.rng.getrandbits(53)
-        self.member.submit("", number, operation, answered, now, COMMAND_TIMEOUT_MS)
+        self.member.submit("", number, operation, answered, now, self._command_timeout.limit_ms)
 
     def _handle_granted(self, answer: Answer) -> None:
         self._lease = answer.lease
