Give observers and commands more time for members that all answer slowly

What operators saw: an observer whose members take over 2.4 s for their first message never follows the store: it gives each connection up, goes to the next member and comes back under the same limit. `eiderpin store` commands cut each attempt off after 3 s, so a member that needs longer is not heard though the whole call may take longer.

The fix: an observer's limit until a member accepts it doubles once no member is left to try, up to 20 s, and follows the time of the next acceptance down; while another member may be faster nothing changes. A command's limit for an attempt doubles once all members have been tried; the whole time of the call stays its limit.

Between messages 2.5 s of silence still end a connection: a member sends a ping each second, and the copy keeps its position.

--- a/eiderpin/fleet/observer.py
+++ b/eiderpin/fleet/observer.py
@@ -15,6 +15,7 @@
 
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Deadline
+from eiderpin.core.growing_timeout import GrowingTimeout
 from eiderpin.fleet.backoff import FullJitter
 from eiderpin.fleet.member_choice import MemberChoice
 from eiderpin.fleet.subscription import (
@@ -37,7 +38,9 @@
 from eiderpin.store.observer_protocol import FROM_MEMBER, MAGIC, Leave, Rejection, Report
 from eiderpin.store.state import Event
 
-ACCEPT_TIMEOUT_MS = 2_400.0  # from the start of a connection to the member's first message
+# From the start of a connection to the member's first message; it grows while no member keeps it.
+ACCEPT_TIMEOUT_MS = 2_400.0
+MAX_ACCEPT_TIMEOUT_MS = 20_000.0
 SILENCE_TIMEOUT_MS = 2_500.0  # between messages of a member, which sends a ping each second
 MAX_STALE_MS = 3_000.0  # age of a member's state; beyond that another member is tried
 RECONNECT_SPREAD_MS = 500.0  # the observers of a member that failed reconnect spread over this time
@@ -104,11 +107,13 @@
         self.subscription, self.rng = subscription, rng
         self.member_choice = MemberChoice(subscription.name, subscription.region, endpoints, rng)
         self.backoff = FullJitter(rng)
+        self.accept_timeout = GrowingTimeout(ACCEPT_TIMEOUT_MS, MAX_ACCEPT_TIMEOUT_MS)
         self.endpoint: MemberEndpoint | None = None  # the member connected to, or tried last
         self.subscribed = False  # whether the member has accepted the subscription
         self.presence_state = PresenceState.UNKNOWN
         self.current_at: float | None = None  # when the copy was last known to be up to date; None: never
         self._started_at = loop.clock.now()
+        self._connecting_at = self._started_at
         self._connection: Connection | None = None
         self._silence_deadline: Deadline | None = None
         self._retry_deadline: Deadline | None = None
@@ -147,12 +152,12 @@
             self._handle_failure()
             return
         self.counters.add("observer.connects")
-        self._connection = connection
+        self._connection, self._connecting_at = connection, now
         frames = FrameDecoder(b"")
         connection.on_open = lambda: connection.write(MAGIC + encode_frame(self.subscription.subscribe()))
         connection.on_data = lambda data: self._handle_data(connection, frames, data)
         connection.on_end = self._handle_end
-        self._expect_message(ACCEPT_TIMEOUT_MS)
+        self._expect_message(self.accept_timeout.limit_ms)
 
     def _expect_message(self, within_ms: float) -> None:
         """Give the member up unless a message comes within this time."""
@@ -163,7 +168,10 @@
 
     def _handle_silence(self) -> None:
         self.counters.add("observer.silent")
+        was_accepted = self.subscribed
         self._give_up_member()
+        if not was_accepted and self.member_choice.best(self.loop.clock.now()) is None:
+            self.accept_timeout.record_timeout()  # no member is left that may be faster
 
     def _give_up_member(self) -> None:
         """Close the connection, and go on as after its end."""
@@ -242,6 +250,7 @@
         if self.subscribed or self.endpoint is None:
             return
         self.subscribed = True
+        self.accept_timeout.record_answer(self.loop.clock.now() - self._connecting_at)
         self._last_report = None  # this member has no report of ours yet
         self.backoff.reset()
         if self.endpoint is not self.member_choice.first:
--- a/eiderpin/store/client.py
+++ b/eiderpin/store/client.py
@@ -12,7 +12,7 @@
 import orjson
 
 RETRY_INTERVAL_SECONDS = 0.1
-ATTEMPT_TIMEOUT_SECONDS = 3.0  # for one attempt at one member
+ATTEMPT_TIMEOUT_SECONDS = 3.0  # for the first attempt at each member
 
 
 class StoreRequestError(Exception):
@@ -38,26 +38,28 @@
         self.client, self.number = "", 0
         self.generation = 0  # of the store at the last watch or snapshot; 0: none yet
 
-    def ask(self, op: str, attempt_timeout: float = ATTEMPT_TIMEOUT_SECONDS, **fields: Any) -> dict[str, Any]:
+    def ask(self, op: str, attempt_timeout: float | None = None, **fields: Any) -> dict[str, Any]:
         """Send a request that is safe to repeat, and return the reply.
 
         It is retried at the next member while there is no leader, no result or no connection.
 
         Args:
             op: The call, one of `door.StoreApi.handlers`.
-            attempt_timeout: How many seconds one attempt may take.
+            attempt_timeout: How many seconds the first attempt at each member may take; the limit doubles
+                once all members have been tried.
             fields: The other fields of the request.
 
         Raises:
             StoreRequestError: The store rejected the request, or there was no result in time.
         """
         deadline = time.monotonic() + self.timeout
+        first_limit = ATTEMPT_TIMEOUT_SECONDS if attempt_timeout is None else attempt_timeout
+        attempts = 0
         while True:
-            remaining = deadline - time.monotonic()
+            rounds, attempts = attempts // len(self.addresses), attempts + 1
+            seconds = min(deadline - time.monotonic(), first_limit * 2.0**rounds)
             try:
-                return self._call_once(
-                    self.addresses[0], {"op": op, **fields}, max(0.2, min(remaining, attempt_timeout))
-                )
+                return self._call_once(self.addresses[0], {"op": op, **fields}, max(0.2, seconds))
             except StoreRequestError as error:
                 if error.kind not in ("no-leader", "unknown", "unreachable") or time.monotonic() > deadline:
                     raise
