Let membership changes wait while the leader cannot make them yet

What operators saw: `eiderpin store add` right after the start of a cluster is refused at once with "an earlier change of members is under way", though nobody has asked for one.

Cause: a member leads as soon as it is elected, and a change has to wait until the entries with which it begins, the first configuration among them, are committed, that is, on disk. A change in between was not deferred but refused, and the client does not repeat what is refused.

Evidence: with an fdatasync of 0.5 s the refusal comes each time, 7 ms after the member says that it leads, with commit 0 and last 2 in its status; with an ordinary disk that window is some milliseconds. Ruled out: a second change by the leader itself, which admits disks it does not know (the one disk was known from the first entry), and a repeated request of the client (the refusal came on the first attempt).

What is never safe is refused at once as before.

--- a/eiderpin/store/member.py
+++ b/eiderpin/store/member.py
@@ -19,6 +19,7 @@
 
 from eiderpin.durable.frames import Record
 from eiderpin.store import identity, records
+from eiderpin.store.deferred_changes import DeferredChanges
 from eiderpin.store.messages import (
     Config,
     Entry,
@@ -29,7 +30,7 @@
     Message,
     Snapshot,
 )
-from eiderpin.store.raft import MAX_LEARNER_LAG_ENTRIES, NotLeader, Raft, Refused, Role
+from eiderpin.store.raft import MAX_LEARNER_LAG_ENTRIES, NotLeader, NotSafeYet, Raft, Refused, Role
 from eiderpin.store.records import MemberIdentity, RestoredState
 from eiderpin.store.state import Answer, Command, Compacted, Event, Expire, Operation, Store, pack, unpack
 
@@ -150,6 +151,7 @@
         self._pending_commands: dict[tuple[str, int], _PendingCommand] = {}
         self._pending_reads: dict[int, _PendingRead] = {}
         self._pending_changes: dict[int, _PendingChange] = {}
+        self._deferred_changes = DeferredChanges()
         self._confirmed_reads: list[tuple[int, int]] = []
         self._last_context = rng.getrandbits(40)
         self._last_tick_ms, self._lease_clock_ms = now, now
@@ -198,6 +200,8 @@
             self._advance_lease_clock(now)
             self._admit_unknown_disks()
             self._promote_learners()
+            for deferred in self._deferred_changes.take():
+                self._handle_change_request(deferred.request, now, deferred.until)
         if self.raft.leader:
             self.last_leader_contact_ms = now
         self._expire_pending(now)
@@ -208,17 +212,9 @@
         if self.disk_failed:
             return  # nothing of it could be persisted
         if isinstance(message, MembershipRequest):
-            error = self._execute_change(message.what, message.name, message.address)
-            self.send(
-                MembershipResponse(self.identity.name, message.frm, self.raft.term, message.context, error)
-            )
+            self._handle_change_request(message, now)
         elif isinstance(message, MembershipResponse):
-            change = self._pending_changes.get(message.context)
-            if change is not None:
-                change.accepted = True
-            if change is not None and message.error:
-                del self._pending_changes[message.context]
-                change.on_done(Refused(message.error))
+            self._handle_change_response(message)
         else:
             self.raft.step(message)
         self.flush(now)
@@ -241,25 +237,56 @@
             timeout_ms: After this, `on_done` is called with `OutcomeUnknown`.
         """
         self._last_context += 1
-        self._pending_changes[self._last_context] = _PendingChange(what, name, on_done, now + timeout_ms)
-        if self.raft.role is Role.LEADER:
-            error = self._execute_change(what, name, address)
-            self._pending_changes[self._last_context].accepted = True
-            if error:
-                del self._pending_changes[self._last_context]
-                on_done(Refused(error))
-        elif self.raft.leader:
-            to, term = self.raft.leader, self.raft.term
-            self.send(
-                MembershipRequest(self.identity.name, to, term, self._last_context, what, name, address)
-            )
+        context, own_name = self._last_context, self.identity.name
+        self._pending_changes[context] = _PendingChange(what, name, on_done, now + timeout_ms)
+        leader = own_name if self.raft.role is Role.LEADER else self.raft.leader
+        request = MembershipRequest(own_name, leader, self.raft.term, context, what, name, address)
+        if leader == own_name:
+            self._handle_change_request(request, now)
+        elif leader:
+            self.send(request)
         else:
-            del self._pending_changes[self._last_context]
+            del self._pending_changes[context]
             on_done(NotLeader(""))
         self.flush(now)
 
+    def _handle_change_request(
+        self, request: MembershipRequest, now: float, deferred_until: float | None = None
+    ) -> None:
+        """Carry out a membership change, or defer it while it is not safe yet, and respond to who asked."""
+        try:
+            error = self._execute_change(request.what, request.name, request.address)
+        except NotSafeYet as not_yet:
+            error = str(not_yet)
+            if self._deferred_changes.add(request, error, now, deferred_until):
+                return
+        own_name = self.identity.name
+        if request.frm == own_name and self.raft.role is not Role.LEADER:  # it lost the lead meanwhile
+            change = self._pending_changes.pop(request.context, None)
+            if change is not None:
+                change.on_done(NotLeader(self.raft.leader))
+            return
+        response = MembershipResponse(own_name, request.frm, self.raft.term, request.context, error)
+        if request.frm == own_name:
+            self._handle_change_response(response)
+        else:
+            self.send(response)
+
+    def _handle_change_response(self, response: MembershipResponse) -> None:
+        """Note that the leader has begun a change that was requested here, or refuses it."""
+        change = self._pending_changes.get(response.context)
+        if change is None:
+            return
+        change.accepted = True
+        if response.error:
+            del self._pending_changes[response.context]
+            change.on_done(Refused(response.error))
+
     def _execute_change(self, what: str, name: str, address: str) -> str:
-        """Carry out a membership change as the leader; return why it is refused, or an empty string."""
+        """Carry out a membership change as the leader; return why it is refused, or an empty string.
+
+        Raises `NotSafeYet`.
+        """
         config = self.raft.log.config
         try:
             if what == "transfer":
@@ -285,9 +312,9 @@
                 if what == "add-standby":
                     changed = replace(changed, standbys=[*changed.standbys, name])
                 self.raft.change_config(changed)
-        except NotLeader as error:
-            return str(error)
-        except Refused as error:
+        except NotSafeYet:
+            raise
+        except (NotLeader, Refused) as error:
             return str(error)
         return ""
 
--- a/eiderpin/store/raft.py
+++ b/eiderpin/store/raft.py
@@ -73,6 +73,10 @@
     """The request cannot be carried out now, or not at all; the message says why."""
 
 
+class NotSafeYet(Refused):
+    """The request can be carried out once what was begun before it is committed."""
+
+
 @dataclass(slots=True)
 class RaftOutput:
     """What the caller has to do, in this order.
@@ -230,17 +234,18 @@
 
         Raises:
             NotLeader: This member does not lead.
-            Refused: The change is not safe, or not safe yet.
+            NotSafeYet: It becomes safe when an earlier entry is committed.
+            Refused: The change is not safe.
         """
         if self.role is not Role.LEADER:
             raise NotLeader(self.leader)
         old = self.log.config
         if self.log.config_index > self.commit:
-            raise Refused("an earlier change of members is under way")
+            raise NotSafeYet("an earlier change of members is under way")
         if self.log.term(self.commit) != self.term:
             # Before it has committed an entry of its own term, the quorums of its change and of an earlier
             # leader's change need not overlap.
-            raise Refused("this leader has just begun; again in a moment")
+            raise NotSafeYet("this leader has just begun; again in a moment")
         changed = set(old.voters) ^ set(config.voters)
         if len(changed) > 1:
             raise Refused("one voter at a time may come or go")
