Let members with slow disks elect a leader that goes on leading

What operators saw: three members whose disks take 1.2 s for a sync never have a leader (none in 60 s, 23 terms), so nothing of the store works. One slow second of all disks is enough to end each election.

An election lasts 0.5 to 1 s, and the next one cuts it off: a vote that takes longer to reach the disks is never counted. And where an election was won, the leader stepped down after 0.5 s, as responses to its heartbeats waited for the disks behind the entries that it had sent.

The fix: after five terms in a row without a leader, election timeouts double with each further term, up to 16 times, and go back with the next leader. Terms do not pass while members are cut off from each other, as a pre-vote fails first, so a cluster that comes together again elects as soon as before. And a response to a heartbeat is sent at once: it acknowledges no entry and gives no vote.

--- a/eiderpin/store/raft.py
+++ b/eiderpin/store/raft.py
@@ -39,6 +39,10 @@
 # Lower bound of the election timeout. Each timeout is drawn at random, from this to just below twice as much.
 ELECTION_TICKS = 10
 HEARTBEAT_TICKS = 2  # between two heartbeats of a leader
+# After so many terms without a leader, election timeouts double with each further one. Where votes take
+# longer to reach the disks than a timeout, each election would be cut off by the next one, without end.
+PATIENT_AFTER_TERMS = 5
+MAX_TIMEOUT_DOUBLINGS = 4
 MAX_APPEND_BYTES = 128 << 10  # of entries in one Append message
 MAX_UNCOMMITTED_BYTES = 16 << 20  # of proposals that a leader accepts before they are committed
 MAX_PENDING_READS = 4096  # reads that wait for a heartbeat round; also the limit of deferred reads
@@ -150,6 +154,7 @@
         self.incoming_snapshot: tuple[SnapshotChunk, bytearray] | None = None
         self.elapsed = self.heartbeat_elapsed = 0
         self.heartbeat_due = False
+        self.terms_without_leader = 0  # since a leader was known last
         self.notified_removed = False  # a member has notified us that we were removed
         self._output = RaftOutput()
         self._reported_hard_state = hard
@@ -377,9 +382,8 @@
             elif isinstance(message, Heartbeat):
                 if message.disk in ("", self.disk):
                     self._commit_to(min(message.commit, self.log.last))
-                self._send_after_persist(
-                    HeartbeatResponse(self.name, message.frm, self.term, message.round, self.disk)
-                )
+                # It acknowledges no entry and gives no vote, so it need not wait for the disk.
+                self._send(HeartbeatResponse(self.name, message.frm, self.term, message.round, self.disk))
             elif isinstance(message, SnapshotChunk):
                 self._handle_snapshot_chunk(message)
         elif kind is TimeoutNow:
@@ -769,6 +773,9 @@
     def _become_follower(self, term: int, leader: str) -> None:
         if term > self.term:
             self.term, self.vote = term, ""
+            self.terms_without_leader += 1
+        if leader:
+            self.terms_without_leader = 0
         if self.role is Role.LEADER:
             self.pending_reads.clear()
             self.deferred_reads.clear()
@@ -780,6 +787,7 @@
 
     def _become_candidate(self, force: bool = False) -> None:
         self.term, self.vote = self.term + 1, self.name
+        self.terms_without_leader += 1
         self.role, self.leader, self.votes = Role.CANDIDATE, "", {self.name: True}
         self._reset_election_timer()
         self._request_votes(self.term, pre=False, force=force)
@@ -803,6 +811,7 @@
 
     def _become_leader(self) -> None:
         self.role, self.leader, self.transfer_target = Role.LEADER, self.name, ""
+        self.terms_without_leader = 0
         self.elapsed, self.uncommitted_bytes, self.peers = 0, 0, {}
         self.pending_reads, self.peer_disks, self.last_heard, self.unknown_disks = [], {}, {}, {}
         self._update_peers()
@@ -820,7 +829,8 @@
 
     def _reset_election_timer(self) -> None:
         self.elapsed = 0
-        self.election_timeout = self.rng.randint(ELECTION_TICKS, 2 * ELECTION_TICKS - 1)
+        doublings = min(max(self.terms_without_leader - PATIENT_AFTER_TERMS, 0), MAX_TIMEOUT_DOUBLINGS)
+        self.election_timeout = self.rng.randint(ELECTION_TICKS, 2 * ELECTION_TICKS - 1) << doublings
 
     def _send(self, message: Message) -> None:
         self._output.messages.append(message)
