Do not let an older list bring workers back that were told to drain

What callers saw: a reload that names another discovery, whose list runs 8 s behind, puts workers that drain back into service: 11 to 13 attempts at two of them, up to 7.6 s after the dispatcher was told of the drain. The same holds after a restart of discovery that counts its generations anew from an older list.

Cause: after a change of the address, or 4 s of older generations, the next list was taken as it is. Nothing remembered what the former source had said of a worker, though a worker is in service again only by a new start.

Ruled out: a list that is not confirmed in time (`list_validity` holds it back from 4 s on, the second discovery answers at once), and jobs that were decided before the reload.

The fix: `policy/drain_records.py` keeps who drains or is gone, with the start as listed and the source that told it. Another source's entry with the same start and a state in service is withheld, as is a worker that a whole list lacked. What the present source has told itself it may take back, and after 60 s its word holds in any case: then the whole list is read again. Names that do not return are forgotten after the same time.

--- a/eiderpin/net/discovery.py
+++ b/eiderpin/net/discovery.py
@@ -21,6 +21,7 @@
 from eiderpin.net.list_document import Entries, check_shape, read_list
 from eiderpin.net.loop import Loop
 from eiderpin.policy.answer_timing import AnswerTiming
+from eiderpin.policy.drain_records import DrainRecords
 
 logger = logging.getLogger("eiderpin")
 
@@ -73,6 +74,7 @@
         self.reported_old = False  # it was logged that the list is old
         self.newest_generation: int | None = None  # the latest one received
         self.outdated_since: float | None = None  # since when only older generations are received
+        self.drain_records = DrainRecords()
         self.on_request = core.settings.must_ask
         if self.on_request:
             core.source = self
@@ -97,6 +99,7 @@
         self.core.list_source_changed(self.link)
         self.server_address, self.generation = server_address, None
         self.newest_generation = self.outdated_since = None
+        self.drain_records.change_source(self.loop.clock.now())
         self.verified = False
         self.timing = AnswerTiming()
         self.close_calls()
@@ -172,6 +175,8 @@
     def send(self, call: DiscoveryCall) -> None:
         """Ask for changes, or for the whole list where there is none that they could follow."""
         self.wall.sample()
+        if self.drain_records.expire(self.loop.clock.now()):
+            self.generation = None  # some entries were withheld: read them again
         target = b"/catalog/members"
         wait_ms = 0.0
         if self.generation is not None:
@@ -252,11 +257,14 @@
             self.generation = None
             self.handle_failure(call, None)
             return
+        if generation < (self.newest_generation or 0):
+            self.drain_records.change_source(self.loop.clock.now())
         self.core.counters.add("in.lists")
         self.note_answer(call, generation)
         self.generation = self.newest_generation = generation
         self.outdated_since = None
         self.has_answered = self.verified = True
+        entries = self.with_drain_records(entries, whole)
         if whole or entries or self.on_request:  # on request an empty answer shows that the watch is active
             kind = api.ListKind.COMPLETE if whole else api.ListKind.CHANGES
             self.core.apply_worker_list(
@@ -276,6 +284,12 @@
         self.close_call(call)
         self.call()
 
+    def with_drain_records(self, entries: Entries, whole: bool) -> Entries:
+        """Return the entries of a list with the states that hold: an older list brings no worker back."""
+        applied = self.drain_records.apply((entry for entry, _ in entries), whole, self.loop.clock.now())
+        addresses = {entry.name: address for entry, address in entries}
+        return [(entry, addresses[entry.name]) for entry in applied]
+
     def with_local_start_times(self, entries: Entries, whole: bool = False) -> Entries:
         """Convert the workers' start times in these entries to the dispatcher's clock; returns them.
 
--- a/tests/test_discovery_ends.py
+++ b/tests/test_discovery_ends.py
@@ -240,6 +240,16 @@
                 self.assertLess(watch.list_age_ms, 100)
 
 
+def serve_requests(harness: Harness, agent: Agent, ms: float) -> tuple[list[str], list[str]]:
+    """Send requests for `ms`, and return which have begun at each worker meanwhile."""
+    before = [len(worker.begun()) for worker in harness.workers]
+    for _ in range(int(ms / 100)):
+        harness.client().send(job_request("time-lookup", f"r{len(harness.clients)}", wait=7000))
+        run_agent(harness, agent, ms=100)
+    first, second = (w.begun()[n:] for w, n in zip(harness.workers, before, strict=True))
+    return first, second
+
+
 class AnotherDiscovery(unittest.TestCase):
     """A reload that names another discovery, which has news that the present one does not have."""
 
@@ -251,15 +261,6 @@
         host, port = other.address.split(":")
         harness.service.discovery.change_address((host, int(port)))
 
-    def serve(self, harness: Harness, other: Agent, ms: float) -> tuple[list[str], list[str]]:
-        """Send requests for `ms`, and return which have begun at each worker meanwhile."""
-        before = [len(worker.begun()) for worker in harness.workers]
-        for _ in range(int(ms / 100)):
-            harness.client().send(job_request("time-lookup", f"r{len(harness.clients)}", wait=7000))
-            run_agent(harness, other, ms=100)
-        first, second = (w.begun()[n:] for w, n in zip(harness.workers, before, strict=True))
-        return first, second
-
     def test_a_list_that_it_does_not_confirm_in_time_is_not_used(self) -> None:
         """What it lists counts as known 4 s after the reload, whether it answers or not."""
         for settings, (name, failure) in itertools.product(({}, ON_REQUEST), FAILURES.items()):
@@ -270,12 +271,12 @@
                 other = Agent()
                 other.failure = failure
                 self.move(harness, other)
-                self.assertTrue(self.serve(harness, other, 3500)[0])  # the present list is still in use
-                self.serve(harness, other, 800)
-                self.assertEqual(self.serve(harness, other, 8000), ([], []))
+                self.assertTrue(serve_requests(harness, other, 3500)[0])  # the present list is still in use
+                serve_requests(harness, other, 800)
+                self.assertEqual(serve_requests(harness, other, 8000), ([], []))
                 self.assertEqual(harness.service.readiness(), "down")
                 other.failure = None
-                first, second = self.serve(harness, other, KNOWN_WITHIN_MS)
+                first, second = serve_requests(harness, other, KNOWN_WITHIN_MS)
                 self.assertEqual((first, bool(second)), ([], True))
                 self.assertTrue(is_draining(harness))
                 other.close()
@@ -286,11 +287,11 @@
             other = Agent()
             other.failure = FAILURES["silent"]
             self.move(harness, other)
-            self.serve(harness, other, 2500)
+            serve_requests(harness, other, 2500)
             other.failure = None
-            self.assertTrue(self.serve(harness, other, 1400)[1])
+            self.assertTrue(serve_requests(harness, other, 1400)[1])
             for _ in range(6):
-                self.assertTrue(self.serve(harness, other, 1000)[1])
+                self.assertTrue(serve_requests(harness, other, 1000)[1])
             other.close()
 
     def test_a_connection_that_comes_up_after_the_list_has_become_void_is_not_used(self) -> None:
