Believe a restarted discovery within 6 s though its answers are slow or asked for

What callers saw: after discovery was restarted and counted its generations anew, a drain was known only 6.4 to 9.8 s later where each answer took 1 to 2 s, and 11.2 to 16.7 s later where lists are asked for, even from a discovery that answers at once.

Cause: older generations were rejected until they had come for 4 s, counted from the first one, which is late itself; the whole list that is needed then was asked for only after that, and where lists are asked for each of these steps ran into the decisions' back-off, which is meant for a service that fails.

The fix: the 4 s count from when the list was confirmed last. An older answer makes the next call fetch the whole list, so that it can be accepted as it comes; where lists are asked for that call is made once, at the end of the 4 s. And as older answers may come from a replica that is behind, they also end what a source may take back (`DrainRecords`): before this, a worker that drains could return with the next list.

--- a/eiderpin/net/discovery.py
+++ b/eiderpin/net/discovery.py
@@ -36,7 +36,7 @@
 OLD_LIST_MS = 6000.0  # from this age on the list is reported as old
 # An answer with an older generation than we have is rejected, and the call is repeated after this time.
 OUTDATED_RETRY_MS = 250.0
-# Once discovery has given only such answers for this long, it was restarted and counts generations anew.
+# Once the list has not been confirmed for this long, discovery was restarted and counts generations anew.
 OUTDATED_REJECT_MS = 4000.0
 
 
@@ -73,7 +73,6 @@
         self.failures = 0  # consecutive failed or late calls
         self.reported_old = False  # it was logged that the list is old
         self.newest_generation: int | None = None  # the latest one received
-        self.outdated_since: float | None = None  # since when only older generations are received
         self.drain_records = DrainRecords()
         self.on_request = core.settings.must_ask
         if self.on_request:
@@ -98,7 +97,7 @@
             return
         self.core.list_source_changed(self.link)
         self.server_address, self.generation = server_address, None
-        self.newest_generation = self.outdated_since = None
+        self.newest_generation = None
         self.drain_records.change_source(self.loop.clock.now())
         self.verified = False
         self.timing = AnswerTiming()
@@ -206,15 +205,9 @@
         self.note_failure(CallFailure.SILENT)
         self.schedule_call(late_call_ms=call.age_ms)
 
-    def handle_failure(
-        self, call: DiscoveryCall, reason: CallFailure | None, retry_ms: float = RETRY_MS
-    ) -> None:
-        """Close a call that has failed, and make another one, unless that was done when it became late.
-
-        `reason`: None for an answer that is no failure and can still not be used.
-        """
-        if reason is not None:
-            self.note_failure(reason)
+    def handle_failure(self, call: DiscoveryCall, reason: CallFailure, retry_ms: float = RETRY_MS) -> None:
+        """Close a call that has failed, and make another one, unless that was done when it became late."""
+        self.note_failure(reason)
         self.close_call(call)
         if not call.is_late:
             self.schedule_call(retry_ms)
@@ -231,6 +224,24 @@
             return
         self.retry = self.loop.deadlines.set(self.loop.clock.now() + retry_ms, self.call)
 
+    def reject_outdated(self, call: DiscoveryCall) -> None:
+        """The answer is older than our list, and is not applied.
+
+        Discovery may have been restarted, and then answers no watch from our generation: fetch the whole list
+        next. On request that is made once, when the answer would be accepted, as it costs the service more.
+        Or some of its replicas are behind: whichever of them answers next must not bring workers back.
+        """
+        self.generation = None
+        self.drain_records.change_source(self.loop.clock.now())
+        if not self.on_request:
+            self.handle_failure(call, CallFailure.OLDER, OUTDATED_RETRY_MS)
+            return
+        self.note_failure(CallFailure.OLDER)
+        self.close_calls()
+        self.verified = False
+        retry_ms = max(OUTDATED_REJECT_MS - self.list_age_ms, OUTDATED_RETRY_MS)
+        self.retry = self.loop.deadlines.set(self.loop.clock.now() + retry_ms, self.call)
+
     def reject_answer(self, call: DiscoveryCall) -> None:
         """The answer is not valid HTTP, not JSON or not a list: fetch the whole list next."""
         self.generation = None
@@ -246,23 +257,23 @@
             return
         check_shape(message.body)
         generation, whole, entries = read_list(orjson.loads(message.body))
-        if self.is_outdated(generation):
-            self.handle_failure(call, CallFailure.OLDER, OUTDATED_RETRY_MS)
+        is_older = generation < (self.newest_generation or 0)
+        if is_older and self.list_age_ms < OUTDATED_REJECT_MS:
+            self.reject_outdated(call)
             return
         if self.generation is None and not whole:
             self.handle_failure(call, CallFailure.INCOMPLETE)
             return
-        if generation < (self.newest_generation or 0) and not whole:
+        if is_older and not whole:
             # Discovery was restarted and counts from a lower generation: its changes alone are not enough.
             self.generation = None
-            self.handle_failure(call, None)
+            self.call_again(call, message.keep_alive)
             return
-        if generation < (self.newest_generation or 0):
+        if is_older:
             self.drain_records.change_source(self.loop.clock.now())
         self.core.counters.add("in.lists")
         self.note_answer(call, generation)
         self.generation = self.newest_generation = generation
-        self.outdated_since = None
         self.has_answered = self.verified = True
         entries = self.with_drain_records(entries, whole)
         if whole or entries or self.on_request:  # on request an empty answer shows that the watch is active
@@ -308,16 +319,3 @@
                 self.start_times[entry.name] = (listed, start)
             entry.born = start
         return entries
-
-    def is_outdated(self, generation: int) -> bool:
-        """Return whether an answer of this generation is older than our list and must not be applied.
-
-        Applied, it could put a draining worker back in service. Older generations are accepted only when
-        discovery has sent nothing else for OUTDATED_REJECT_MS.
-        """
-        if self.newest_generation is None or generation >= self.newest_generation:
-            return False
-        now = self.loop.clock.now()
-        if self.outdated_since is None:
-            self.outdated_since = now
-        return now - self.outdated_since < OUTDATED_REJECT_MS
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -194,6 +194,41 @@
         assert [worker.begun() for worker in harness.workers] == [[], ["r1"]]
 
 
+@pytest.mark.parametrize(
+    ("settings", "delays"),
+    [
+        *((PUSHED, delays) for delays in ([0.0], *SLOW.values())),
+        *((ON_REQUEST, delays) for delays in ([0.0], SLOW["1 s"], SLOW["varying"])),
+    ],
+)
+def test_a_discovery_that_counts_generations_anew_is_accepted_in_time(
+    settings: dict[str, Any], delays: list[float]
+) -> None:
+    """Guards against its lists being taken for outdated ones for longer, as each of them comes late."""
+    check_new_generations_are_accepted(settings, delays)
+
+
+def test_a_slow_service_that_counts_generations_anew_is_accepted_in_time() -> None:
+    """The same where lists are asked for and each answer takes 2 s."""
+    check_new_generations_are_accepted(ON_REQUEST, SLOW["2 s"])
+
+
+def check_new_generations_are_accepted(settings: dict[str, Any], delays: list[float]) -> None:
+    """Restart discovery, with a change and with generations from 1 on; check that the change is known."""
+    with slow_discovery(settings, delays) as (harness, agent):
+        for _ in range(20):
+            agent.list_worker(harness.workers[1])
+        run_agent(harness, agent, ms=8000)
+        agent.generation, agent.changed_in = 1, {}
+        agent.list_worker(harness.workers[1])
+        is_known = list_drain(harness, agent)
+        for peer in agent.peers:
+            if not peer.ended:
+                peer.close()
+        agent.pending.clear()
+        assert run_agent(harness, agent, until=is_known) < KNOWN_WITHIN_MS
+
+
 def test_slow_and_silent_answers_are_told_apart(caplog: pytest.LogCaptureFixture) -> None:
     """Guards against an outage of which counters and log do not say what discovery does."""
     with slow_discovery(PUSHED, [1000.0]) as (harness, agent), caplog.at_level("INFO", "eiderpin"):
