--- a/tests/standins.py
+++ b/tests/standins.py
@@ -107,6 +107,7 @@
         self.changes: list[tuple[int, dict[str, Any]]] = []
         self.served_generation = 0  # the generation of the last answer
         self.silent = False  # whether it accepts requests without answering
+        self.delay_seconds = 0.0  # by which each answer comes later
         self.request_count = 0
         self.changed = threading.Condition()
         discovery = self
@@ -130,8 +131,10 @@
                         else [entry for generation, entry in discovery.changes if generation > after]
                     )
                     answer = {"generation": discovery.generation, "reset": complete, "instances": rows}
+                time.sleep(discovery.delay_seconds)
+                with contextlib.suppress(OSError):
                     self.say(200, json.dumps(answer).encode())
-                    discovery.served_generation = discovery.generation
+                    discovery.served_generation = answer["generation"]
 
         self.server = _Server(("127.0.0.1", 0), Handler)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -29,6 +29,9 @@
 )
 from tests.test_operators import ASK, DOOR, answer, call, caller, figures
 
+KNOWN_WITHIN_MS = 6000.0  # for a change of the list; required by the operators of the platform
+DRAIN_GRACE_MS = 550.0  # the settings' grace, and 50 ms on sockets
+
 
 class HoldingWorker:
     """A worker that accepts jobs, and completes those whose ids don't begin with "q" once `go` is set."""
@@ -141,6 +144,30 @@
 TOOK = "a newer process takes the clients"
 
 
+class UpgradeWhileDiscoveryIsSlow(unittest.TestCase):
+    """Each answer of discovery takes 1 s."""
+
+    def test_a_new_process_has_a_list_of_its_own_and_learns_of_drains(self) -> None:
+        """Guards against a successor whose calls are all closed before their answers come."""
+        with side() as processes:
+            other = HttpWorker("h2")
+            processes.discovery.list("h2", other.port)
+            processes.serving()
+            processes.discovery.delay_seconds = 1.0
+            new = processes.serving()
+            other.callback_address = new.http_address
+            said(processes.programs[0], TOOK)
+            processes.discovery.list("h1", processes.held.worker.port, "Terminating")
+            time.sleep((KNOWN_WITHIN_MS + DRAIN_GRACE_MS) / 1000)
+            held = len(processes.held.worker.requests)
+            for number in range(10):
+                headers = {"Req_Id": f"q{number}", "Req_Deadline_Ms": "3000"}
+                self.assertEqual(http_call(new.http_address, "POST", "/time-lookup", **headers)[0], 200)
+            self.assertEqual(len(processes.held.worker.requests), held)
+            self.assertGreater(new.counters()["in.lists"], 0)
+            other.stop()
+
+
 class Upgrade(unittest.TestCase):
     """Handover between processes, with each of them failing at some moment."""
 
