Keep a confirmed background job until its deadline, and log one that is not served

What callers saw: of 25 result-posts that a vendor handed over in the background, each with JOB_CREATED, while the traffic was 2.3 times the usual for 10 s, 2 to 8 were never sent to a worker, and nobody was told.

Cause: a job that can no longer end within its class's aim is given up, so that its client may come again soon. A background job was treated alike, though its client has gone with the word that the job will run.

Ruled out: rejections by workers and lack of memory (no such event), and a job that was lost after it had been sent (the workers' books have no trace of it).

The fix: the decisions are told that nobody waits, and such a job is hopeless only when it can't end by its deadline. It still goes behind jobs that are in time. Where it is not served even so, or fails, that is logged at `warning` with its id and class, and counted (`end.background_unserved`).

Decisions on other jobs are the same.

--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -246,6 +246,7 @@
             request.hint,
             request.client_retry,
             request.priority,
+            nobody_waits=request.background and not request.waiters,
         )
 
     # -- shutdown
@@ -865,6 +866,19 @@
             why=reason.value,
             cut_short=cut,
         )
+        if answer.verdict is not Verdict.SERVED:
+            self._log_unserved_background_job(request, answer, reason)
+
+    def _log_unserved_background_job(self, request: Request, answer: Answer, reason: EndReason) -> None:
+        """Log that a job has not been served whose client was told that it would be, and is not told now."""
+        was_confirmed = not request.not_accepted and reason is not EndReason.NOT_DURABLE
+        if not request.background or request.waiters or not was_confirmed:
+            return
+        self.counters.add("end.background_unserved")
+        request_log.request_event(
+            "a background job that was confirmed has not been served", request, logging.WARNING,
+            end=answer.verdict.value, why=reason.value, may_have_run=request.may_have_run(),
+        )  # fmt: skip
 
     def _cancel_unsent_attempts(self, request: Request) -> None:
         """Withdraw the attempts of an ended request that have not been written in full.
--- a/eiderpin/decide.py
+++ b/eiderpin/decide.py
@@ -268,7 +268,7 @@
     __slots__ = (
         "id", "spec", "deadline", "need", "work", "aim_at", "sends", "open_attempts", "possible_runs",
         "streaming", "excluded", "ended", "has_hint", "priority", "arrived_at", "slack",
-        "home_zone_only", "worth_scale", "wait_id",
+        "home_zone_only", "worth_scale", "wait_id", "nobody_waits",
     )  # fmt: skip
 
     def __init__(self, request: api.Request, spec: api.RequestClass, now: float, work: float) -> None:
@@ -281,6 +281,7 @@
         self.has_hint = bool(request.hint)
         self.priority = request.priority
         self.deadline = now + request.expires_in
+        self.nobody_waits = request.nobody_waits
         self.arrived_at = now
         self.need = max(request.slots, request.memory)  # slots that it takes up
         self.work = work  # expected run time at a slowness of 1
@@ -1051,10 +1052,11 @@
     def hopeless_from(self, job: Job) -> float:
         """Return the time from which no worker could end the job while its answer is worth something.
 
-        That is until its deadline, or its aim if a late answer of its class earns nothing.
+        That is until its deadline, or its aim if a late answer of its class earns nothing. A job that nobody
+        waits for was confirmed, and no client would hear that it was given up: its deadline counts.
         """
         fastest = min((s.slowdown for s in self.shapes.values()), default=self.mean_slowdown)
-        due = job.deadline if job.spec.late_worth > 0 else job.aim_at
+        due = job.deadline if job.spec.late_worth > 0 or job.nobody_waits else job.aim_at
         return due - HOPELESS_RUN_SHARE * fastest * job.work
 
     def latest_start(self, job: Job) -> float:
--- a/eiderpin/interface.py
+++ b/eiderpin/interface.py
@@ -235,6 +235,7 @@
     hint: float | None = None  # expected work
     client_retry: bool = False
     priority: int = 0  # among jobs that wait, those of higher priority are sent first
+    nobody_waits: bool = False  # its client has left it to run until its deadline, and gets no answer
 
 
 @dataclass(slots=True)
