Add nothing to a peer's records when an ended job is told again

In an upgrade, each resubmission of a job that had ended at the other process removed its id and added it again, which left an entry of its group behind until the group expired: 10,000 of them for one id in the new test, which fails on the code before. The records keep the later of two times by themselves, so nothing has to be removed.

--- a/eiderpin/core/peer_jobs.py
+++ b/eiderpin/core/peer_jobs.py
@@ -84,12 +84,15 @@
 
     def add_ended(self, job: JobKey, until: float, now: float, must_not_rerun: bool) -> None:
         """Note that a job has ended at the peer, and must not run elsewhere until this time."""
-        self.remove(job)
+        key = stored_key(job)
+        self._open.discard(key)
+        self._repeatable.pop(key, None)
         if must_not_rerun:
             self._run_once.expire(now)
             self._run_once.add(job, until)
             return
-        self._repeatable[stored_key(job)] = until
+        self._run_once.remove(key)
+        self._repeatable[key] = until
         if len(self._repeatable) > MAX_RETAINED_ANSWERS:
             self._repeatable.popitem(last=False)
 
--- a/tests/test_run_once_records.py
+++ b/tests/test_run_once_records.py
@@ -16,7 +16,7 @@
 from eiderpin.core import retained_answers
 from eiderpin.core.counters import Counters
 from eiderpin.core.deadlines import Deadlines
-from eiderpin.core.peer_jobs import PeerJobs
+from eiderpin.core.peer_jobs import JobsOfPeer, PeerJobs
 from eiderpin.core.requests import FAILED, Answer, Attempt, Request, Verdict
 from eiderpin.core.retained_answers import RetainedAnswer
 from eiderpin.core.run_once_ids import GROUP_SPAN_MS, RunOnceIds
@@ -433,3 +433,13 @@
 def post(program: Program, request_id: str) -> int:
     """Send a result-post by HTTP; return the status of its answer."""
     return http_call(program.http_address, "POST", "/result-post", b"x", Req_Id=request_id)[0]
+
+
+def test_an_ended_job_that_is_told_again_adds_nothing_to_the_records_of_a_peer() -> None:
+    """Guards against records that grow with each resubmission of a job that ended at the other process."""
+    records = JobsOfPeer()
+    for number in range(10_000):
+        records.add_ended(("post", "j1"), until=60_000.0, now=float(number), must_not_rerun=True)
+    assert sum(len(group.ids) for group in records._run_once._groups.values()) == 1
+    records.add_ended(("post", "j1"), until=90_000.0, now=10_000.0, must_not_rerun=True)
+    assert records.has(("post", "j1"), 89_000.0)
