Name the time for which departed workers are remembered apart from that of jobs

Two constants of the same name and value stood for different things in two modules of the decisions. And a comment of the growth benchmark said what its arrays are for in a riddle. No change of behaviour.

--- a/benchmarks/growth/decisions.py
+++ b/benchmarks/growth/decisions.py
@@ -232,7 +232,8 @@
 
 def measure(scenario: Scenario, jobs: int) -> list[Sample]:
     """Play a scenario, and return what is held at moments of equal distance after the warm-up."""
-    ended, held = array("q", bytes(8 * SAMPLES)), array("q", bytes(8 * SAMPLES))  # so that none is added
+    # Made before memory is traced, so that the samples do not count as held.
+    ended, held = array("q", bytes(8 * SAMPLES)), array("q", bytes(8 * SAMPLES))
     gc.collect()
     tracemalloc.start()
     try:
--- a/eiderpin/core/dispatcher.py
+++ b/eiderpin/core/dispatcher.py
@@ -422,7 +422,7 @@
         """Return whether a worker left the list long ago; a front forgets its own when they leave."""
         if endpoint.is_listed or endpoint.withdrawn_at is None or endpoint.listed.classes is not None:
             return False
-        is_long_ago = endpoint.withdrawn_at <= now - departed_workers.RETENTION_MS
+        is_long_ago = endpoint.withdrawn_at <= now - departed_workers.DEPARTED_RETENTION_MS
         return is_long_ago and endpoint.name not in self.module.workers
 
     def list_call_failed(self, late_call_ms: float | None) -> None:
--- a/eiderpin/policy/departed_workers.py
+++ b/eiderpin/policy/departed_workers.py
@@ -8,7 +8,7 @@
 from eiderpin.interface import WorkerState
 
 # What was learned of a worker decays within some of its runs; its open attempts keep it for longer.
-RETENTION_MS = 60_000.0
+DEPARTED_RETENTION_MS = 60_000.0
 
 
 class DepartingWorker(Protocol):
@@ -31,7 +31,7 @@
     """Forgets workers that have left the list, once they have no open attempt.
 
     One that had named its classes is a connection of a front, whose name is not used again: it goes at once.
-    Any other is forgotten `RETENTION_MS` after it has left, since it may come back.
+    Any other is forgotten `DEPARTED_RETENTION_MS` after it has left, since it may come back.
     """
 
     def __init__(self, workers: MutableMapping[str, AnyWorker]) -> None:
@@ -52,7 +52,7 @@
         """Forget the workers that left long ago; those with open attempts get as much time again."""
         while self._left_at:
             name, left_at = next(iter(self._left_at.items()))
-            if left_at > now - RETENTION_MS:
+            if left_at > now - DEPARTED_RETENTION_MS:
                 return
             worker = self._workers.get(name)
             if worker is not None and worker.open_attempts:
--- a/tests/test_memory_growth.py
+++ b/tests/test_memory_growth.py
@@ -9,7 +9,7 @@
 from eiderpin import interface as api
 from eiderpin.core import dispatcher
 from eiderpin.decide import Dispatcher
-from eiderpin.policy.departed_workers import RETENTION_MS
+from eiderpin.policy.departed_workers import DEPARTED_RETENTION_MS
 from eiderpin.policy.recent_attempts import REPORT_AGE_MS, RecentAttempts
 from tests.conftest import entry, listed, make_settings
 from tests.crossing import running_harness
@@ -42,12 +42,12 @@
     list_workers(decisions, 1000.0, "w1", "w2")
     known = decisions.workers["w1"]
     list_workers(decisions, 2000.0, "w2")
-    list_workers(decisions, 2000.0 + RETENTION_MS - 5.0, "w1", "w2")
-    list_workers(decisions, 2000.0 + RETENTION_MS + 5.0, "w1", "w2")
+    list_workers(decisions, 2000.0 + DEPARTED_RETENTION_MS - 5.0, "w1", "w2")
+    list_workers(decisions, 2000.0 + DEPARTED_RETENTION_MS + 5.0, "w1", "w2")
     assert decisions.workers["w1"] is known
-    left_at = 3000.0 + RETENTION_MS
+    left_at = 3000.0 + DEPARTED_RETENTION_MS
     list_workers(decisions, left_at, "w2")
-    list_workers(decisions, left_at + RETENTION_MS + 5.0, "w2")
+    list_workers(decisions, left_at + DEPARTED_RETENTION_MS + 5.0, "w2")
     assert list(decisions.workers) == ["w2"]
 
 
@@ -59,11 +59,11 @@
     sent = [action for action in decisions.handle(1100.0, []) if isinstance(action, api.Send)]
     assert sent or decisions.workers["w1"].open_attempts
     for minute in range(1, 4):
-        list_workers(decisions, 2000.0 + minute * (RETENTION_MS + 5.0), "w2")
+        list_workers(decisions, 2000.0 + minute * (DEPARTED_RETENTION_MS + 5.0), "w2")
         assert "w1" in decisions.workers
     ended = api.AttemptEnded(1, 0, "w1", api.Outcome.DONE, 100.0, True)
     decisions.handle(300_000.0, [ended])
-    list_workers(decisions, 300_000.0 + 2 * RETENTION_MS, "w2")
+    list_workers(decisions, 300_000.0 + 2 * DEPARTED_RETENTION_MS, "w2")
     assert "w1" not in decisions.workers
 
 
@@ -76,7 +76,7 @@
         workers = [(worker_entry(name), name) for name in names]
         running.core.apply_worker_list(running.link, api.ListKind.COMPLETE, workers)
         running.core.decide()
-    most = (RETENTION_MS + 2 * dispatcher.DEPARTED_CHECK_INTERVAL_MS) / 1000.0
+    most = (DEPARTED_RETENTION_MS + 2 * dispatcher.DEPARTED_CHECK_INTERVAL_MS) / 1000.0
     assert len(running.core.endpoints) <= most + 2
     running.run("still served", b"r")
 
