Do not tell balancers that a dispatcher is up before discovery has confirmed its list

What balancers saw: a dispatcher that starts while discovery is down answers agent-check with "up 100%" from 4 s on, and each job that is sent to it gets a 503, for as long as discovery is away.

Cause: 4 s after the start a worker of the stored list counted as one that jobs can be sent to, though it is held back until discovery answers. That is meant for `/_health`, by which the platform takes a process for failed, and agent-check and the management call `ready` told the same.

Ruled out: a list that was confirmed (no call was answered), and jobs that could be served by other workers (none are listed).

The fix: one place decides on readiness (`Service._readiness`), and is told whether a worker can be sent to: for agent-check and `ready` one that is confirmed, for the platform as before.

Shown by the new test of test_stored_list.py, both cases of which fail on the code before.

--- a/eiderpin/service.py
+++ b/eiderpin/service.py
@@ -388,7 +388,7 @@
             used += len(self.gearman.connections)
         from eiderpin.net.handover_messages import State
 
-        return State(self.core.module.describe_commitments().holds, used, self.readiness())
+        return State(self.core.module.describe_commitments().holds, used, self.platform_readiness())
 
     @property
     def is_fenced(self) -> bool:
@@ -400,15 +400,25 @@
     # -- queries of balancers and operators
 
     def readiness(self) -> str:
-        """The state for load balancers, in the format of HAProxy's agent-check: whether new work is accepted,
-        and the share of the request capacity that is free."""
+        """The state for load balancers and operators, in the format of HAProxy's agent-check.
+
+        It says whether new work can be sent to a worker, and the share of the request capacity that is free.
+        """
+        return self._readiness(self.core.has_usable_worker())
+
+    def platform_readiness(self) -> str:
+        """The same for the platform, where workers that are not confirmed yet count as well after a while."""
+        return self._readiness(self.has_workers_to_send_to())
+
+    def _readiness(self, has_workers: bool) -> str:
+        """The state of this process, or of its successor; `has_workers`: there is one to send new work to."""
         if self.handed_over and self.handover is not None and self.handover.successor is not None:
             return self.handover.successor.readiness
         if self.drained or self.is_fenced or self.shutdown.begun:
             return "drain"
         if self.ledger is not None and not self.ledger.is_ready:
             return "down"
-        if not self.serving or not self.has_workers_to_send_to():
+        if not self.serving or not has_workers:
             return "down"
         max_requests = min(self.http_front.max_connections, self.config.settings.most_held)
         free = 100 - 100 * len(self.core.requests) // max_requests
@@ -442,7 +452,7 @@
     def health_text(self) -> str:
         """The answer to `/_health`: the readiness, and the age of the control plane's data."""
         detail = self.control_plane.readiness_detail() if self.control_plane is not None else ""
-        return self.readiness() + detail
+        return self.platform_readiness() + detail
 
     def answer_ready(self) -> str:
         """The reply to the management call `ready`: whether this process can serve. One that an operator has
--- a/tests/test_stored_list.py
+++ b/tests/test_stored_list.py
@@ -194,3 +194,22 @@
         process.serve(KNOWN_WITHIN_MS)
         assert not core.endpoints["w0"].in_service
         assert process.jobs_begun_at(0) == []
+
+
+@pytest.mark.parametrize("settings", [FIRST_TO_ASK, PUSHED], ids=["on request", "pushed"])
+def test_balancers_are_not_told_up_while_no_worker_of_the_list_is_confirmed(settings: dict[str, Any]) -> None:
+    """Guards against jobs that balancers send to a dispatcher which can only reject them.
+
+    The platform takes a process that is not ready for failed, so `/_health` says up in the end.
+    """
+    with restarted_process(settings, FAILURES["silent"]) as process:
+        service = process.harness.service
+        for _ in range(int(LONG_OUTAGE_MS / 1000)):
+            run_agent(process.harness, process.agent, ms=1000)
+            assert service.readiness() == "down"
+            assert service.answer_ready().startswith("fail down")
+        assert service.health_text().startswith("up")
+        process.agent.failure = None
+        run_agent(process.harness, process.agent, ms=KNOWN_WITHIN_MS)
+        assert service.readiness().startswith("up")
+        assert service.answer_ready().startswith("ok up")
