Do not copy an incomplete line on the link of an upgrade with each part of it

What was seen: once in a whole run beside four busy processes, test_a_stranger_on_the_link_of_an_upgrade_does_not_ fill_the_memory found a peak of 32.6 MB, where 32 is the limit.

Cause: each read of up to 64 KB on the link split, and so copied, all that had come of a line. A line of 4 MB took twice its size while it was received, and as buffers of two links overlap, 4 MB more at times.

Ruled out: the memory of the program itself, which has grown by 0.2 MB.

The fix: what has come is split only when a line ends. The new test fails on the code before (8.4 MB more than at the start, 6 allowed).

--- a/eiderpin/net/handover_link.py
+++ b/eiderpin/net/handover_link.py
@@ -95,10 +95,11 @@
         deadlines.drop(self.silence_timeout)
         self.silence_timeout = deadlines.set(self.loop.clock.now() + SILENCE_TIMEOUT_MS, self.close)
         self.buffer += data
-        *lines, rest = self.buffer.split(b"\n")
-        self.buffer = rest
+        lines: list[bytearray] = []
+        if b"\n" in data:  # a line that is not complete yet must not be copied with each part of it
+            *lines, self.buffer = self.buffer.split(b"\n")
         try:
-            if len(rest) > MAX_LINE_BYTES:
+            if len(self.buffer) > MAX_LINE_BYTES:
                 raise ValueError("line is too long")
             self.account_memory()
             for line in lines:
--- a/tests/test_hostile_servers.py
+++ b/tests/test_hostile_servers.py
@@ -106,3 +106,18 @@
             stranger.close()
         site.serving(limits={"sockets": 1024, "memory_mb": 32})
         said(old, TOOK)
+
+
+def test_incomplete_lines_on_the_link_are_not_copied_with_each_part_that_comes() -> None:
+    """Guards against twice the memory that peers may hold, and more at times, while a line is received."""
+    with side() as site, contextlib.ExitStack() as strangers:
+        old = site.serving(limits={"sockets": 1024, "memory_mb": 32})
+        before = memory_mb(old.process.pid, "VmHWM")
+        for _ in range(8):
+            stranger = strangers.enter_context(socket.socket(socket.AF_UNIX, socket.SOCK_STREAM))
+            stranger.settimeout(2)
+            stranger.connect(site.link_path)
+            with contextlib.suppress(OSError):
+                stranger.sendall(b"x" * (4 << 20))
+        held_mb = 32 / 8  # by all peers together; half as much again for what is being read
+        assert memory_mb(old.process.pid, "VmHWM") - before < 1.5 * held_mb
